Let lease holders load and move models through recorded intents

Cause: models reached runners only by preloading; nothing kept memory, leases or the last replica safe. Change: leases and orders folded from one stream per failure domain, a pessimistic memory ledger, anchors with a barrier per lease, a planner with floors, demand, hysteresis and move price, and a holder thread per shard.

--- /dev/null
+++ b/internal/anchor/state.go
@@ -0,0 +1,124 @@
+package anchor
+
+import (
+	"fmt"
+	"maps"
+
+	"github.com/cowsliparch/cowsliparch/internal/fold"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/record"
+)
+
+// State is the fold of the Anchors stream.
+type State struct {
+	through  logservice.Offset
+	anchors  map[string]string
+	barriers map[string]logservice.Offset
+}
+
+// VoidError reports a take that came behind a newer holder's barrier.
+type VoidError struct {
+	Shard string
+	Fence logservice.Offset
+}
+
+// Error implements error.
+func (e *VoidError) Error() string {
+	return fmt.Sprintf("take by shard %s under lease %d came behind a newer holder", e.Shard, e.Fence)
+}
+
+// New returns the state before the first record.
+func New() State { return State{} }
+
+// Through returns the offset of the last record folded.
+func (s State) Through() logservice.Offset { return s.through }
+
+// Snapshot implements fold.State.
+func (s State) Snapshot() (record.Envelope, bool) {
+	envelope, err := record.New(fold.SnapshotKind, Snapshot{
+		Through:  s.through,
+		Anchors:  s.anchors,
+		Barriers: s.barriers,
+	})
+	return envelope, err == nil
+}
+
+// Restore implements fold.State.
+func (s State) Restore(e record.Envelope) (State, error) {
+	snapshot, err := record.Body[Snapshot](e)
+	if err != nil {
+		return s, err
+	}
+	return State{
+		through:  snapshot.Through,
+		anchors:  snapshot.Anchors,
+		barriers: snapshot.Barriers,
+	}, nil
+}
+
+// Anchor returns the shard that must keep a replica of a model.
+func (s State) Anchor(model string) (string, bool) {
+	shard, ok := s.anchors[model]
+	return shard, ok
+}
+
+// Barrier returns the lease up to which a shard's former holders are shut out.
+func (s State) Barrier(shard string) logservice.Offset { return s.barriers[shard] }
+
+// With returns the state after a record.
+func (s State) With(r logservice.Record) (State, error) {
+	if r.Offset <= s.through {
+		return s, &record.OutOfOrderError{Offset: uint64(r.Offset), Folded: uint64(s.through)}
+	}
+	s.through = r.Offset
+	envelope, err := record.Decode(r.Payload)
+	if err != nil {
+		return s, err
+	}
+	switch envelope.Kind {
+	case TakeKind:
+		return s.withTake(envelope)
+	case BarrierKind:
+		return s.withBarrier(envelope)
+	default:
+		return s, &record.UnknownKindError{Kind: envelope.Kind}
+	}
+}
+
+func (s State) withTake(e record.Envelope) (State, error) {
+	take, err := record.Body[Take](e)
+	if err != nil {
+		return s, err
+	}
+	if take.Fence < s.barriers[take.Shard] {
+		return s, &VoidError{Shard: take.Shard, Fence: take.Fence}
+	}
+	anchors := maps.Clone(s.anchors)
+	if anchors == nil {
+		anchors = make(map[string]string)
+	}
+	for model, from := range take.From {
+		if anchors[model] == from {
+			anchors[model] = take.Shard
+		}
+	}
+	s.anchors = anchors
+	return s, nil
+}
+
+func (s State) withBarrier(e record.Envelope) (State, error) {
+	barrier, err := record.Body[Barrier](e)
+	if err != nil {
+		return s, err
+	}
+	if barrier.Fence <= s.barriers[barrier.Shard] {
+		return s, nil
+	}
+	barriers := maps.Clone(s.barriers)
+	if barriers == nil {
+		barriers = make(map[string]logservice.Offset)
+	}
+	barriers[barrier.Shard] = barrier.Fence
+	s.barriers = barriers
+	return s, nil
+}
--- a/internal/claim/state.go
+++ b/internal/claim/state.go
@@ -32,6 +32,14 @@
 // Through returns the offset of the last record folded.
 func (s State) Through() logservice.Offset { return s.through }
 
+// Snapshot implements fold.State: keys are remembered for less than the log retains, so none is needed.
+func (s State) Snapshot() (record.Envelope, bool) { return record.Envelope{}, false }
+
+// Restore implements fold.State.
+func (s State) Restore(e record.Envelope) (State, error) {
+	return s, &record.UnknownKindError{Kind: e.Kind}
+}
+
 // Len returns how many keys are remembered.
 func (s State) Len() int { return s.newer.Len() + s.older.Len() }
 
--- a/internal/configuration/body.go
+++ b/internal/configuration/body.go
@@ -10,9 +10,8 @@
 
 // The kinds of record of the stream.
 const (
-	ChangeKind   record.Kind = "Change"
-	UseKind      record.Kind = "Use"
-	SnapshotKind record.Kind = "Snapshot"
+	ChangeKind record.Kind = "Change"
+	UseKind    record.Kind = "Use"
 )
 
 // Change publishes a document against the version it was made for.
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -70,6 +70,17 @@
 	return Model{}, false
 }
 
+// ReplicaBytes returns what one replica of a model takes of an accelerator, with all of its adapters.
+func (c Configuration) ReplicaBytes(model Model) int64 {
+	bytes := model.MemoryBytes
+	for _, adapter := range c.Adapters {
+		if adapter.Model == model.Name {
+			bytes += adapter.MemoryBytes
+		}
+	}
+	return bytes
+}
+
 // Region returns the region of a failure domain.
 func (c Configuration) Region(domain string) (string, bool) {
 	for _, d := range c.FailureDomains {
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -3,14 +3,12 @@
 import (
 	"slices"
 
+	"github.com/cowsliparch/cowsliparch/internal/fold"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/record"
 )
 
-const (
-	keptOutcomes   = 256
-	pendingRecords = 1024
-)
+const keptOutcomes = 256
 
 // State is the fold of the Configuration stream: at most one version and one preset in force.
 type State struct {
@@ -21,9 +19,6 @@
 	document      []byte
 	preset        Preset
 	outcomes      []Outcome
-	// missed tells that records before the pending ones are unknown, so that no verdict can be given.
-	missed  bool
-	pending []logservice.Record
 }
 
 // New returns the state before the first record.
@@ -54,8 +49,23 @@
 	return Outcome{}, false
 }
 
-// Snapshot returns the record body that repeats the state.
-func (s State) Snapshot() Snapshot {
+// Snapshot implements fold.State.
+func (s State) Snapshot() (record.Envelope, bool) {
+	envelope, err := record.New(fold.SnapshotKind, s.Body())
+	return envelope, err == nil
+}
+
+// Restore implements fold.State.
+func (s State) Restore(envelope record.Envelope) (State, error) {
+	snapshot, err := record.Body[Snapshot](envelope)
+	if err != nil {
+		return s, err
+	}
+	return FromSnapshot(snapshot)
+}
+
+// Body returns the body of the record that repeats the state.
+func (s State) Body() Snapshot {
 	return Snapshot{
 		Through:  s.through,
 		Version:  s.version,
@@ -96,68 +106,14 @@
 	if r.Offset <= s.through {
 		return s, &record.OutOfOrderError{Offset: uint64(r.Offset), Folded: uint64(s.through)}
 	}
-	if r.Offset > s.through+1 {
-		s.missed = true
-		s.pending = nil
-	}
 	s.through = r.Offset
 	envelope, err := record.Decode(r.Payload)
 	if err != nil {
 		return s, err
 	}
-	if envelope.Kind == SnapshotKind {
-		return s.withSnapshot(envelope)
-	}
-	if s.missed {
-		return s.withPending(r), nil
-	}
 	return s.withVerdict(r.Offset, envelope)
 }
 
-func (s State) withPending(r logservice.Record) State {
-	s.pending = append(slices.Clip(s.pending), r)
-	if len(s.pending) > pendingRecords {
-		s.pending = s.pending[1:]
-	}
-	return s
-}
-
-// withSnapshot ends a gap: the snapshot stands in for the unknown records, and those read since are folded on top.
-func (s State) withSnapshot(envelope record.Envelope) (State, error) {
-	if !s.missed {
-		return s, nil
-	}
-	snapshot, err := record.Body[Snapshot](envelope)
-	if err != nil {
-		return s, err
-	}
-	first := s.through
-	if len(s.pending) > 0 {
-		first = s.pending[0].Offset
-	}
-	if snapshot.Through+1 < first || snapshot.Version < s.version {
-		// Records between the snapshot and the first one read here are unknown still.
-		return s, nil
-	}
-	base, err := FromSnapshot(snapshot)
-	if err != nil {
-		return s, err
-	}
-	through := s.through
-	for _, r := range s.pending {
-		if r.Offset <= base.through {
-			continue
-		}
-		pending, err := record.Decode(r.Payload)
-		if err != nil {
-			continue
-		}
-		base, _ = base.withVerdict(r.Offset, pending)
-	}
-	base.through = through
-	return base, nil
-}
-
 func (s State) withVerdict(offset logservice.Offset, envelope record.Envelope) (State, error) {
 	if _, seen := s.Outcome(envelope.ID); seen {
 		return s, &record.DuplicateError{ID: envelope.ID}
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -147,8 +147,8 @@
 			v.fault(path+".Service", "%q is not a model service", m.Service)
 			continue
 		}
-		if m.MemoryBytes > service.AcceleratorBytes {
-			v.fault(path+".MemoryBytes", "%d is more than the %d of any accelerator of %q", m.MemoryBytes, service.AcceleratorBytes, m.Service)
+		if bytes := v.configuration.ReplicaBytes(m); bytes > service.AcceleratorBytes {
+			v.fault(path+".MemoryBytes", "%d with its adapters is more than the %d of any accelerator of %q", bytes, service.AcceleratorBytes, m.Service)
 		}
 	}
 }
@@ -219,7 +219,7 @@
 func (v *validation) memory(path string, p Preset) {
 	need := make(map[string]int64)
 	for _, m := range v.configuration.Models {
-		need[m.Service] += int64(p.Floor(m.Name)) * m.MemoryBytes
+		need[m.Service] += int64(p.Floor(m.Name)) * v.configuration.ReplicaBytes(m)
 	}
 	for _, s := range v.configuration.Services {
 		have := int64(s.Runners()) * int64(s.Accelerators) * s.AcceleratorBytes
--- a/internal/endpoint/order.go
+++ b/internal/endpoint/order.go
@@ -7,6 +7,8 @@
 const (
 	Load   Action = "Load"
 	Unload Action = "Unload"
+	// Raise only raises the fencing number, at engines that enforce it.
+	Raise Action = "Raise"
 )
 
 // Order asks an engine to change what it has loaded.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,16 +13,20 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cowsliparch/cowsliparch/internal/anchor"
 	"github.com/cowsliparch/cowsliparch/internal/booking"
 	"github.com/cowsliparch/cowsliparch/internal/burn"
 	"github.com/cowsliparch/cowsliparch/internal/configuration"
 	"github.com/cowsliparch/cowsliparch/internal/directory"
 	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/fleet"
 	"github.com/cowsliparch/cowsliparch/internal/fold"
 	"github.com/cowsliparch/cowsliparch/internal/gate"
+	"github.com/cowsliparch/cowsliparch/internal/holder"
 	"github.com/cowsliparch/cowsliparch/internal/modelcall"
 	"github.com/cowsliparch/cowsliparch/internal/operator"
 	"github.com/cowsliparch/cowsliparch/internal/peer"
+	"github.com/cowsliparch/cowsliparch/internal/placement"
 	"github.com/cowsliparch/cowsliparch/internal/plaincall"
 )
 
@@ -44,6 +48,10 @@
 	decisions     *modelcall.Decisions
 	models        *modelcall.Handler[peer.Remote]
 	plain         *plaincall.Handler
+	fleet         *fold.Tail[fleet.State]
+	anchors       *fold.Tail[anchor.State]
+	holder        *holder.Holder
+	meter         *placement.Meter
 	operators     *operator.Handler
 	peers         *peer.Server
 
@@ -61,11 +69,13 @@
 		burn:         burn.New(),
 		demand:       modelcall.NewDemand(),
 		domainDemand: modelcall.NewDemand(),
+		meter:        placement.NewMeter(),
 		decisions:    modelcall.NewDecisions(),
 	}
 	e.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	e.wireControl()
 	e.wireCalls()
+	e.wireHolder()
 	e.registerGauges()
 	return e, e.listen()
 }
@@ -121,6 +131,7 @@
 		Neighbours:   e.node,
 		Burn:         e.burn,
 		Demand:       e.demand,
+		Answered:     e.meter.Answered,
 		Metrics:      modelcall.NewMetrics(e.registry),
 		Decisions:    e.decisions,
 		Clock:        d.Clock,
@@ -154,12 +165,47 @@
 	e.peers = peer.NewServer(e.incarnation, e, d.Clock)
 }
 
+func (e *Entry) wireHolder() {
+	d := e.Dependencies
+	vm := d.Settings.VM
+	e.fleet = fold.NewTail(fleet.New(), d.Log, fleet.Stream(vm.FailureDomain), d.Clock, d.Logger)
+	e.anchors = fold.NewTail(anchor.New(), d.Log, anchor.Stream, d.Clock, d.Logger)
+	e.holder = holder.New(holder.Dependencies{
+		Options: holder.Options{
+			VM:            vm.Name,
+			Incarnation:   e.incarnation,
+			FailureDomain: vm.FailureDomain,
+			LeaseTerm:     d.Settings.Control.LeaseTerm,
+			LeaseMargin:   d.Settings.Control.LeaseMargin,
+			DeliveryBound: d.Settings.Control.DeliveryBound,
+		},
+		Fleet:         e.fleet,
+		Anchors:       e.anchors,
+		Configuration: e.configuration.State,
+		View:          e.directory.View,
+		Poll:          e.directory.PollReport,
+		Elsewhere:     e.servedElsewhere,
+		Meter:         e.meter,
+		Engine:        d.Engine,
+		Clock:         d.Clock,
+		Logger:        d.Logger,
+	})
+}
+
 // Run answers until ctx ends, then stops gracefully: it withdraws readiness, waits for the balancer to notice, and
 // lets every call in flight come to its end.
 func (e *Entry) Run(ctx context.Context) error {
 	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopControl()
 	threads, control := errgroup.WithContext(control)
+	// The holder stops first, so that its release still finds the tail of the stream running.
+	holding, stopHolder := context.WithCancel(control)
+	defer stopHolder()
+	held := make(chan struct{})
+	threads.Go(func() error {
+		defer close(held)
+		return e.holder.Run(holding)
+	})
 	for _, duty := range e.duties() {
 		threads.Go(func() error { return duty(control) })
 	}
@@ -172,7 +218,10 @@
 	case <-ctx.Done():
 	case <-control.Done():
 	}
+	e.stopping.Store(true)
+	stopHolder()
 	err := e.drain(callers)
+	<-held
 	stopControl()
 	_ = operators.Close()
 	return errors.Join(err, threads.Wait())
@@ -185,14 +234,17 @@
 		e.directory.Run,
 		e.node.Run,
 		e.desk.Run,
+		e.fleet.Run,
+		e.anchors.Run,
 		e.watchConfiguration,
 		e.shareDemand,
+		e.measureDemand,
+		e.appendSnapshots,
 	}
 }
 
 // drain is the graceful stop of the callers' side.
 func (e *Entry) drain(callers *http.Server) error {
-	e.stopping.Store(true)
 	event.EntryStopping.Log(e.Logger, slog.Int("Calls", e.gate.Inside()))
 	e.Clock.Sleep(e.Settings.Limits.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Limits.StopTimeout)
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -29,5 +29,20 @@
 			Refused:   string(d.Refused),
 		})
 	}
+	for _, m := range e.fleet.State().Ledger().Moves() {
+		if about != "" && m.Intent.Model != about && m.Intent.Endpoint != about {
+			continue
+		}
+		explanation.Moves = append(explanation.Moves, operatorapi.Move{
+			At:       m.At,
+			ID:       m.Intent.ID,
+			Action:   string(m.Intent.Action),
+			Model:    m.Intent.Model,
+			Endpoint: m.Intent.Endpoint,
+			Sender:   m.Intent.VM,
+			Why:      m.Intent.Why,
+			Settled:  string(m.Settled),
+		})
+	}
 	return explanation
 }
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -57,6 +57,10 @@
 	if len(e.directory.View().Serving(model)) > 0 {
 		return true
 	}
+	return e.servedElsewhere(model)
+}
+
+func (e *Entry) servedElsewhere(model string) bool {
 	for _, group := range e.node.Serving(model) {
 		if len(group) > 0 {
 			return true
--- a/internal/entry/threads.go
+++ b/internal/entry/threads.go
@@ -47,6 +47,21 @@
 	}
 }
 
+// measureDemand turns the calls counted in this failure domain into rates.
+func (e *Entry) measureDemand(ctx context.Context) error {
+	last := e.Clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.Clock.After(demandInterval):
+		}
+		now := e.Clock.Now()
+		e.meter.Observe(e.domainDemand.Take(), now.Sub(last))
+		last = now
+	}
+}
+
 func (e *Entry) registerGauges() {
 	gauge := func(name, help string, value func() float64) {
 		e.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -186,6 +186,8 @@
 		}
 	case endpoint.Unload:
 		done = e.memory.unload(order)
+	case endpoint.Raise:
+		done = true
 	}
 	answer.Result = endpoint.Failed
 	if done {
--- /dev/null
+++ b/internal/fleet/state.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/fold"
+	"github.com/cowsliparch/cowsliparch/internal/lease"
+	"github.com/cowsliparch/cowsliparch/internal/ledger"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/record"
+)
+
+// State is the fold of one failure domain's stream.
+type State struct {
+	through logservice.Offset
+	// now is the time of the log service, which never runs back here.
+	now    time.Time
+	leases lease.Table
+	ledger ledger.Ledger
+}
+
+// New returns the state before the first record.
+func New() State {
+	return State{
+		ledger: ledger.New(),
+	}
+}
+
+// Through returns the offset of the last record folded.
+func (s State) Through() logservice.Offset { return s.through }
+
+// Snapshot implements fold.State.
+func (s State) Snapshot() (record.Envelope, bool) {
+	envelope, err := record.New(fold.SnapshotKind, Snapshot{
+		Through: s.through,
+		Now:     s.now,
+		Leases:  s.leases.All(),
+		Books:   s.ledger.Books(),
+	})
+	return envelope, err == nil
+}
+
+// Restore implements fold.State.
+func (s State) Restore(e record.Envelope) (State, error) {
+	snapshot, err := record.Body[Snapshot](e)
+	if err != nil {
+		return s, err
+	}
+	return State{
+		through: snapshot.Through,
+		now:     snapshot.Now,
+		leases:  lease.FromLeases(snapshot.Leases),
+		ledger:  ledger.FromBooks(snapshot.Books),
+	}, nil
+}
+
+// Now returns the time of the log service at the last record.
+func (s State) Now() time.Time { return s.now }
+
+// Leases returns the leases.
+func (s State) Leases() lease.Table { return s.leases }
+
+// Ledger returns the orders.
+func (s State) Ledger() ledger.Ledger { return s.ledger }
+
+// With returns the state after a record.
+func (s State) With(r logservice.Record) (State, error) {
+	if r.Offset <= s.through {
+		return s, &record.OutOfOrderError{Offset: uint64(r.Offset), Folded: uint64(s.through)}
+	}
+	s.through = r.Offset
+	if r.Time.After(s.now) {
+		s.now = r.Time
+	}
+	envelope, err := record.Decode(r.Payload)
+	if err != nil {
+		return s, err
+	}
+	switch envelope.Kind {
+	case ClaimKind:
+		return s.withClaim(envelope)
+	case RenewalKind:
+		return s.withRenewal(envelope)
+	case ReleaseKind:
+		return s.withRelease(envelope)
+	case IntentKind:
+		return s.withIntent(envelope)
+	case SettleKind:
+		return s.withSettle(envelope)
+	default:
+		return s, &record.UnknownKindError{Kind: envelope.Kind}
+	}
+}
+
+func (s State) withClaim(e record.Envelope) (State, error) {
+	claim, err := record.Body[lease.Claim](e)
+	if err != nil {
+		return s, err
+	}
+	s.leases = s.leases.WithClaim(claim, s.through, s.now)
+	return s, nil
+}
+
+func (s State) withRenewal(e record.Envelope) (State, error) {
+	renewal, err := record.Body[lease.Renewal](e)
+	if err != nil {
+		return s, err
+	}
+	s.leases = s.leases.WithRenewal(renewal, s.now)
+	return s, nil
+}
+
+func (s State) withRelease(e record.Envelope) (State, error) {
+	release, err := record.Body[lease.Release](e)
+	if err != nil {
+		return s, err
+	}
+	s.leases = s.leases.WithRelease(release, s.now)
+	return s, nil
+}
+
+func (s State) withIntent(e record.Envelope) (State, error) {
+	intent, err := record.Body[ledger.Intent](e)
+	if err != nil {
+		return s, err
+	}
+	if !s.leases.Valid(intent.Shard, intent.Fence, s.now) {
+		return s, &FencedError{Shard: intent.Shard, Fence: intent.Fence}
+	}
+	s.ledger, err = s.ledger.WithIntent(e.ID, intent, s.through, s.now)
+	return s, err
+}
+
+func (s State) withSettle(e record.Envelope) (State, error) {
+	settle, err := record.Body[Settle](e)
+	if err != nil {
+		return s, err
+	}
+	var skipped error
+	for _, settlement := range settle.Settlements {
+		if s.ledger, err = s.ledger.WithSettlement(settlement); err != nil {
+			skipped = err
+		}
+	}
+	for _, abandonment := range settle.Abandonments {
+		if s.ledger, err = s.ledger.WithAbandonment(abandonment); err != nil {
+			skipped = err
+		}
+	}
+	return s, skipped
+}
--- a/internal/fold/tail.go
+++ b/internal/fold/tail.go
@@ -28,7 +28,7 @@
 	logger *slog.Logger
 
 	mu      sync.Mutex
-	state   S
+	cursor  Cursor[S]
 	seen    *recent
 	skipped uint64
 	changed chan struct{}
@@ -41,7 +41,7 @@
 		stream:  stream,
 		clock:   clock,
 		logger:  logger,
-		state:   initial,
+		cursor:  NewCursor(initial),
 		seen:    newRecent(),
 		changed: make(chan struct{}),
 	}
@@ -54,16 +54,26 @@
 		return err
 	}
 	router.AddMiddleware(middleware.Recoverer)
-	subscriber := logstream.NewSubscriber(t.log, t.State().Through()+1, t.clock, t.logger)
+	subscriber := logstream.NewSubscriber(t.log, t.Cursor().Through()+1, t.clock, t.logger)
 	router.AddConsumerHandler("Fold/"+t.stream, t.stream, subscriber, t.handle)
 	return router.Run(ctx)
 }
 
+// Stream returns the name of the stream.
+func (t *Tail[S]) Stream() string { return t.stream }
+
 // State returns the state folded so far.
 func (t *Tail[S]) State() S {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.state
+	return t.cursor.State()
+}
+
+// Cursor returns the place in the stream.
+func (t *Tail[S]) Cursor() Cursor[S] {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cursor
 }
 
 // Skipped returns how many records were skipped so far.
@@ -77,18 +87,18 @@
 func (t *Tail[S]) Adopt(state S) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if state.Through() <= t.state.Through() {
-		return false
+	cursor, further := t.cursor.WithState(state)
+	if further {
+		t.set(cursor)
 	}
-	t.set(state)
-	return true
+	return further
 }
 
 // Wait returns the first state for which done holds, or the error of ctx.
 func (t *Tail[S]) Wait(ctx context.Context, done func(S) bool) (S, error) {
 	for {
 		t.mu.Lock()
-		state := t.state
+		state := t.cursor.State()
 		changed := t.changed
 		t.mu.Unlock()
 		if done(state) {
@@ -112,7 +122,7 @@
 	}
 	offset, err := t.log.Append(ctx, t.stream, payload)
 	if err == nil {
-		return t.waitFor(ctx, envelope.ID, func(s S) bool { return s.Through() >= offset })
+		return t.waitFor(ctx, envelope.ID, func(S) bool { return t.Cursor().Through() >= offset })
 	}
 	var lost *logservice.AnswerLostError
 	if !errors.As(err, &lost) {
@@ -150,25 +160,25 @@
 	if envelope, err := record.Decode(r.Payload); err == nil {
 		t.seen.add(envelope.ID, r.Offset)
 	}
-	through := t.state.Through()
+	through := t.cursor.Through()
 	if r.Offset <= through {
 		// Delivered again, or overtaken by a state adopted from a peer.
 		return nil
 	}
-	if first := logstream.First(msg); through > 0 && first > through+1 && r.Offset == first {
-		event.LogGap.Log(t.logger, slog.String("Stream", t.stream), slog.Uint64("Folded", uint64(through)), slog.Uint64("First", uint64(first)))
+	cursor, skip := t.cursor.With(r)
+	if cursor.Missed() && !t.cursor.Missed() {
+		event.LogGap.Log(t.logger, slog.String("Stream", t.stream), slog.Uint64("Folded", uint64(through)), slog.Uint64("Next", uint64(r.Offset)))
 	}
-	state, skip := t.state.With(r)
 	if skip != nil {
 		t.skipped++
 		event.RecordSkipped.Log(t.logger, slog.String("Stream", t.stream), slog.Uint64("Offset", uint64(r.Offset)), event.Error(skip))
 	}
-	t.set(state)
+	t.set(cursor)
 	return nil
 }
 
-func (t *Tail[S]) set(state S) {
-	t.state = state
+func (t *Tail[S]) set(cursor Cursor[S]) {
+	t.cursor = cursor
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- /dev/null
+++ b/internal/holder/duty.go
@@ -0,0 +1,204 @@
+package holder
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cowsliparch/cowsliparch/internal/directory"
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/ledger"
+	"github.com/cowsliparch/cowsliparch/internal/placement"
+)
+
+// duty is the work for one shard: the lease, open orders, anchors and the plan.
+type duty struct {
+	tenure
+	planner *placement.Planner
+	limiter *rate.Limiter
+	// waiting is since when an intent's sender is known to have given up or gone.
+	waiting map[string]time.Time
+	stuck   map[string]bool
+	// taking tells that a take may still be on its way, so that nothing is unloaded.
+	taking bool
+
+	orders   sync.WaitGroup
+	flyingMu sync.Mutex
+	flying   map[string]bool
+}
+
+func newDuty(h *Holder, shard placement.Shard) *duty {
+	return &duty{
+		tenure: tenure{
+			Holder: h,
+			shard:  shard.Name,
+			since:  h.Clock.Now(),
+		},
+		planner: placement.New(),
+		limiter: rate.NewLimiter(0, 1),
+		waiting: make(map[string]time.Time),
+		stuck:   make(map[string]bool),
+		flying:  make(map[string]bool),
+	}
+}
+
+func (d *duty) run(ctx context.Context) {
+	defer d.release()
+	defer d.orders.Wait()
+	for {
+		d.keep(ctx)
+		if d.holds(d.fence) {
+			d.work(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.Clock.After(tick):
+		}
+	}
+}
+
+func (d *duty) work(ctx context.Context) {
+	endpoints := d.endpoints()
+	d.settle(ctx, endpoints)
+	if !d.barrier(ctx) {
+		return
+	}
+	d.raise(ctx, endpoints)
+	d.take(ctx, endpoints)
+	d.plan(ctx, endpoints)
+}
+
+// reportAge bounds how old a report may be for orders to be decided on it; the ledger keeps what settled since.
+const reportAge = 3 * time.Second
+
+// endpoints returns the endpoints of the shard that have reported lately.
+func (d *duty) endpoints() []*directory.Endpoint {
+	c := d.Configuration().Configuration()
+	var out []*directory.Endpoint
+	for _, e := range d.View().Endpoints() {
+		reported, ok := e.Reported()
+		if !ok || d.Clock.Since(reported.Asked) > reportAge {
+			continue
+		}
+		if placement.ShardOf(c, e.VM.Service, e.VM.FailureDomain, e.VM.Name) == d.shard {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (d *duty) enforces(e *directory.Endpoint) bool {
+	service, _ := d.Configuration().Configuration().Service(e.VM.Service)
+	return service.EnforcesFencing
+}
+
+func (d *duty) ownFence() uint64 { return uint64(d.fence) << 16 }
+
+// raise makes engines that enforce fencing refuse the orders of former holders. It is done again for every incarnation
+// of an engine, since one that restarts may have forgotten the number.
+func (d *duty) raise(ctx context.Context, endpoints []*directory.Endpoint) {
+	for _, e := range endpoints {
+		reported, _ := e.Reported()
+		if !d.enforces(e) || reported.Report.Fence >= d.ownFence() {
+			continue
+		}
+		sending, cancel := context.WithTimeout(ctx, orderTimeout)
+		_, err := d.Engine.Order(sending, e.VM.Address, endpoint.Order{
+			Action: endpoint.Raise,
+			Fence:  d.ownFence(),
+		})
+		cancel()
+		if err == nil {
+			d.Poll(ctx, e)
+		}
+	}
+}
+
+// trusted reports whether a report can't be overtaken by a former holder's order that isn't in the ledger.
+func (d *duty) trusted(e *directory.Endpoint) bool {
+	reported, _ := e.Reported()
+	return !d.enforces(e) || reported.Report.Fence == d.ownFence()
+}
+
+// settle closes the open orders that can have no further effect.
+func (d *duty) settle(ctx context.Context, endpoints []*directory.Endpoint) {
+	now := d.Clock.Now()
+	state := d.Fleet.State().Ledger()
+	var settlements []ledger.Settlement
+	for _, e := range endpoints {
+		reported, _ := e.Reported()
+		for _, open := range state.Open(e.VM.Name) {
+			if d.isFlying(open.Intent.ID) {
+				continue
+			}
+			s, ok := ledger.Settle(open, ledger.Facts{
+				Report:        reported.Report,
+				OwnFence:      d.ownFence(),
+				Enforces:      d.enforces(e),
+				SenderGone:    d.senderGone(open.Intent),
+				Waited:        d.waited(open, now),
+				DeliveryBound: d.DeliveryBound,
+			})
+			if ok {
+				settlements = append(settlements, s)
+				event.OrderSettled.Log(d.Logger, slog.String("Intent", s.Intent), slog.String("Reason", string(s.Reason)))
+			}
+		}
+	}
+	if len(settlements) > 0 {
+		d.record(ctx, settlements, nil)
+	}
+}
+
+func (d *duty) senderGone(intent ledger.Intent) bool {
+	if intent.VM == d.VM {
+		return intent.Sender != d.Incarnation
+	}
+	for _, vm := range d.View().Entries() {
+		if vm.Name == intent.VM {
+			return false
+		}
+	}
+	return len(d.View().Entries()) > 0
+}
+
+// waited returns for how long this VM has known that nothing more comes from an intent's sender.
+func (d *duty) waited(open ledger.Open, now time.Time) time.Duration {
+	id := open.Intent.ID
+	if !open.Abandoned && !d.senderGone(open.Intent) {
+		delete(d.waiting, id)
+		return 0
+	}
+	since, ok := d.waiting[id]
+	if !ok {
+		d.waiting[id] = now
+		return 0
+	}
+	waited := now.Sub(since)
+	if waited > d.DeliveryBound && !d.stuck[id] {
+		d.stuck[id] = true
+		event.ReservationStuck.Log(d.Logger, slog.String("Intent", id), slog.String("Endpoint", open.Intent.Endpoint), slog.String("Model", open.Intent.Model))
+	}
+	return waited
+}
+
+func (d *duty) isFlying(id string) bool {
+	d.flyingMu.Lock()
+	defer d.flyingMu.Unlock()
+	return d.flying[id]
+}
+
+func (d *duty) setFlying(id string, flying bool) {
+	d.flyingMu.Lock()
+	defer d.flyingMu.Unlock()
+	if flying {
+		d.flying[id] = true
+		return
+	}
+	delete(d.flying, id)
+}
--- /dev/null
+++ b/internal/lease/doc.go
@@ -0,0 +1,2 @@
+// Package lease decides, from the order of a log stream alone, who holds each shard.
+package lease
--- /dev/null
+++ b/internal/ledger/errors.go
@@ -0,0 +1,37 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
+)
+
+// StaleError reports an intent that was decided without knowledge of a newer one for the same endpoint.
+type StaleError struct {
+	Endpoint string
+	Base     logservice.Offset
+	Last     logservice.Offset
+}
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("intent for endpoint %s was decided at offset %d, the last intent stands at %d", e.Endpoint, e.Base, e.Last)
+}
+
+// BusyError reports an intent for a place that an open order may still change.
+type BusyError struct {
+	Place Place
+}
+
+// Error implements error.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("model %s on accelerator %d of endpoint %s has an open order", e.Place.Model, e.Place.Accelerator, e.Place.Endpoint)
+}
+
+// UnknownIntentError reports a settlement of an intent that isn't open.
+type UnknownIntentError struct {
+	Intent string
+}
+
+// Error implements error.
+func (e *UnknownIntentError) Error() string { return fmt.Sprintf("intent %s is not open", e.Intent) }
--- a/internal/logservice/logstream/metadata.go
+++ b/internal/logservice/logstream/metadata.go
@@ -13,7 +13,6 @@
 const (
 	OffsetKey = "Offset"
 	TimeKey   = "Time"
-	FirstKey  = "First"
 )
 
 // MetadataError reports a message that did not come from a log stream.
@@ -45,17 +44,7 @@
 	}, nil
 }
 
-// First returns the oldest retained offset known when the message was read.
-func First(msg *message.Message) logservice.Offset {
-	first, err := strconv.ParseUint(msg.Metadata.Get(FirstKey), 10, 64)
-	if err != nil {
-		return 0
-	}
-	return logservice.Offset(first)
-}
-
-func setRecord(msg *message.Message, record logservice.Record, first logservice.Offset) {
+func setRecord(msg *message.Message, record logservice.Record) {
 	msg.Metadata.Set(OffsetKey, strconv.FormatUint(uint64(record.Offset), 10))
 	msg.Metadata.Set(TimeKey, strconv.FormatInt(record.Time.UnixNano(), 10))
-	msg.Metadata.Set(FirstKey, strconv.FormatUint(uint64(first), 10))
 }
--- a/internal/logservice/logstream/subscriber.go
+++ b/internal/logservice/logstream/subscriber.go
@@ -93,7 +93,7 @@
 		reachable = true
 		wait = minRetryWait
 		for _, record := range page.Records {
-			if !s.deliver(ctx, record, page.First, out) {
+			if !s.deliver(ctx, record, out) {
 				return
 			}
 		}
@@ -110,11 +110,11 @@
 	}
 }
 
-func (s *Subscriber) deliver(ctx context.Context, record logservice.Record, first logservice.Offset, out chan<- *message.Message) bool {
+func (s *Subscriber) deliver(ctx context.Context, record logservice.Record, out chan<- *message.Message) bool {
 	for {
 		msg := message.NewMessage(uuid.NewString(), record.Payload)
 		msg.SetContext(ctx)
-		setRecord(msg, record, first)
+		setRecord(msg, record)
 		select {
 		case out <- msg:
 		case <-ctx.Done():
--- a/internal/modelcall/handler.go
+++ b/internal/modelcall/handler.go
@@ -32,12 +32,14 @@
 
 // Dependencies is what a handler works with.
 type Dependencies[R Remote] struct {
-	State        func() configuration.State
-	View         func() *directory.View
-	Engine       endpoint.Engine
-	Neighbours   Neighbours[R]
-	Burn         *burn.Recorder
-	Demand       *Demand
+	State      func() configuration.State
+	View       func() *directory.View
+	Engine     endpoint.Engine
+	Neighbours Neighbours[R]
+	Burn       *burn.Recorder
+	Demand     *Demand
+	// Answered is told how long a whole answer took an endpoint's slot.
+	Answered     func(model string, took time.Duration)
 	Metrics      *Metrics
 	Decisions    *Decisions
 	Clock        clockwork.Clock
--- a/internal/modelcall/route.go
+++ b/internal/modelcall/route.go
@@ -86,6 +86,9 @@
 		}
 	})
 	h.judge(ctx, to.local, err)
+	if err == nil {
+		h.Answered(call.Model.Name, h.Clock.Now().Sub(sent))
+	}
 	return err
 }
 
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -11,7 +11,7 @@
 	"github.com/cowsliparch/cowsliparch/pkg/operatorapi"
 )
 
-const maxChangeBytes = 1 << 20
+const maxChangeBytes = 4 << 20
 
 // Explainer answers why calls and models went where they did.
 type Explainer interface {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	maxFrameBytes = 4 << 20
+	maxFrameBytes = 8 << 20
 	sendQueue     = 1024
 	writeTimeout  = 5 * time.Second
 )
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -93,7 +93,7 @@
 			Pulse: l.pulse(),
 		})
 	case f.Ask != nil:
-		snapshot := l.server.local.State().Snapshot()
+		snapshot := l.server.local.State().Body()
 		return l.conn.send(ctx, frame{
 			Call:     f.Call,
 			Snapshot: &snapshot,
--- /dev/null
+++ b/internal/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement plans which models a shard's runners should have loaded.
+package placement
--- a/internal/record/envelope.go
+++ b/internal/record/envelope.go
@@ -8,7 +8,7 @@
 )
 
 // MaxBytes is the largest payload that a reader takes, in bytes.
-const MaxBytes = 1 << 20
+const MaxBytes = 4 << 20
 
 const maxIDBytes = 64
 
