Find and mend three ways to overcommit memory

Cause: a random state machine over the real fold, ledger and settlement rules (two holders, one engine, late, lost and paused orders, lagging reports, restarts) found three traces with 3 models on an accelerator for 2: 1. an engine's restart settled an abandoned order that was still on its way (the design's rule c); 2. a raised fencing number settled an order, and a restart made the engine forget the number (rule d); 3. a successor with a report older than a settlement took its effect for absent. Change: a restart settles nothing; a number settles orders only where it outlasts restarts (Fencing = Persistent); settled loads count until a report of a later sequence or incarnation is known.

--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -11,12 +11,28 @@
 	PlainService Kind = "Plain"
 )
 
+// Fencing tells what engines make of an order's fencing number.
+type Fencing string
+
+// The kinds of fencing.
+const (
+	// Ignored means that orders run whatever their number.
+	Ignored Fencing = "Ignored"
+	// Enforced means that an order with an old number is refused, until the engine restarts and forgets the newest.
+	Enforced Fencing = "Enforced"
+	// Persistent means that the newest number outlasts restarts of the engine.
+	Persistent Fencing = "Persistent"
+)
+
+// Enforces reports whether the engines of the service refuse orders with an old number.
+func (s Service) Enforces() bool { return s.Fencing == Enforced || s.Fencing == Persistent }
+
 // Service is a group of endpoints that answer alike.
 type Service struct {
 	Name string
 	Kind Kind
-	// EnforcesFencing tells that the engines refuse orders with an old fencing number.
-	EnforcesFencing bool `json:",omitempty"`
+	// Fencing tells what the engines make of fencing numbers; empty means Ignored.
+	Fencing Fencing `json:",omitempty"`
 	// Accelerators is how many a runner of the service has.
 	Accelerators int `json:",omitempty"`
 	// AcceleratorBytes is the memory of one accelerator.
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -120,6 +120,11 @@
 }
 
 func (v *validation) modelService(path string, s Service) {
+	switch s.Fencing {
+	case "", Ignored, Enforced, Persistent:
+	default:
+		v.fault(path+".Fencing", "%q is neither %q, %q nor %q", s.Fencing, Ignored, Enforced, Persistent)
+	}
 	if s.Accelerators < 1 {
 		v.fault(path+".Accelerators", "must be at least 1")
 	}
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cowsliparch/cowsliparch/internal/configuration"
 	"github.com/cowsliparch/cowsliparch/internal/endpoint/httpendpoint"
 	"github.com/cowsliparch/cowsliparch/internal/entry"
 	"github.com/cowsliparch/cowsliparch/internal/fake"
@@ -142,7 +143,8 @@
 		Slots:            w.Deployment.Engine.Slots,
 		PrefillPerSecond: w.Deployment.Engine.PrefillPerSecond,
 		TokenInterval:    w.Deployment.Engine.TokenInterval,
-		EnforcesFencing:  configured.EnforcesFencing,
+		EnforcesFencing:  configured.Enforces(),
+		PersistsFence:    configured.Fencing == configuration.Persistent,
 		LoadTime:         w.Deployment.Engine.LoadTime,
 	}, w.Store, w.baseModel, w.clock, seed)
 	w.Engines = append(w.Engines, engine)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -172,10 +172,13 @@
 		d.leave(e)
 	}
 	e.Load.Report(report, asked, d.neighbours())
-	before := e.reported.Swap(&Reported{
+	before, newer := e.accept(Reported{
 		Report: report,
 		Asked:  asked,
 	})
+	if !newer {
+		return
+	}
 	if before == nil || !sameModels(before.Report, report) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
--- a/internal/directory/endpoint.go
+++ b/internal/directory/endpoint.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,8 @@
 	Load *routing.Load
 
 	leaving  atomic.Bool
+	past     sync.Map
+	mu       sync.Mutex
 	reported atomic.Pointer[Reported]
 }
 
@@ -44,6 +47,29 @@
 	return *r, true
 }
 
+// Past reports whether an incarnation of the endpoint was seen here and has been followed by another.
+func (e *Endpoint) Past(incarnation string) bool {
+	_, ok := e.past.Load(incarnation)
+	return ok
+}
+
+// accept puts a report in place of the one before, unless it is older: two polls may cross.
+func (e *Endpoint) accept(r Reported) (before *Reported, newer bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before = e.reported.Load()
+	if e.Past(r.Report.Incarnation) {
+		return before, false
+	}
+	if before != nil && before.Report.Incarnation != r.Report.Incarnation {
+		e.past.Store(before.Report.Incarnation, true)
+	} else if before != nil && before.Report.Sequence > r.Report.Sequence {
+		return before, false
+	}
+	e.reported.Store(&r)
+	return before, true
+}
+
 // Predict implements routing.Candidate.
 func (e *Endpoint) Predict(prefill int, now time.Time) (time.Duration, bool) {
 	if e.Leaving() || !e.Load.Allowed(now) {
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -94,7 +94,9 @@
 	e.memory.breaches = breaches
 	e.memory.moves = moves
 	e.incarnation = uuid.NewString()
-	e.fence = 0
+	if !e.options.PersistsFence {
+		e.fence = 0
+	}
 }
 
 // Breaches returns how often a load put more on an accelerator than it holds.
--- a/internal/fake/fakeengine/options.go
+++ b/internal/fake/fakeengine/options.go
@@ -12,6 +12,8 @@
 	PrefillPerSecond float64
 	TokenInterval    time.Duration
 	EnforcesFencing  bool
+	// PersistsFence keeps the highest fencing number over a restart.
+	PersistsFence bool
 	// LoadTime is how long the engine takes to load a model once the store has handed it over.
 	LoadTime time.Duration
 }
--- a/internal/holder/anchors.go
+++ b/internal/holder/anchors.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		reported, _ := e.Reported()
-		for _, account := range book.Accounts(e.VM.Name, reported.Report) {
+		for _, account := range book.Accounts(e.VM.Name, reported.Report, d.past(e)) {
 			for model, status := range account.Models {
 				if status.Certain() {
 					counts[model]++
--- a/internal/holder/duty.go
+++ b/internal/holder/duty.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/cowsliparch/cowsliparch/internal/configuration"
 	"github.com/cowsliparch/cowsliparch/internal/directory"
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 	"github.com/cowsliparch/cowsliparch/internal/event"
@@ -23,6 +24,8 @@
 	// waiting is since when an intent's sender is known to have given up or gone.
 	waiting map[string]time.Time
 	stuck   map[string]bool
+	// unseen is since when incarnations are known from settlements only.
+	unseen map[string]time.Time
 	// taking tells that a take may still be on its way, so that nothing is unloaded.
 	taking bool
 
@@ -42,6 +45,7 @@
 		limiter: rate.NewLimiter(0, 1),
 		waiting: make(map[string]time.Time),
 		stuck:   make(map[string]bool),
+		unseen:  make(map[string]time.Time),
 		flying:  make(map[string]bool),
 	}
 }
@@ -94,7 +98,12 @@
 
 func (d *duty) enforces(e *directory.Endpoint) bool {
 	service, _ := d.Configuration().Configuration().Service(e.VM.Service)
-	return service.EnforcesFencing
+	return service.Enforces()
+}
+
+func (d *duty) fencePersists(e *directory.Endpoint) bool {
+	service, _ := d.Configuration().Configuration().Service(e.VM.Service)
+	return service.Fencing == configuration.Persistent
 }
 
 func (d *duty) ownFence() uint64 { return uint64(d.fence) << 16 }
@@ -138,8 +147,7 @@
 			}
 			s, ok := ledger.Settle(open, ledger.Facts{
 				Report:        reported.Report,
-				OwnFence:      d.ownFence(),
-				Enforces:      d.enforces(e),
+				FencePersists: d.fencePersists(e),
 				SenderGone:    d.senderGone(open.Intent),
 				Waited:        d.waited(open, now),
 				DeliveryBound: d.DeliveryBound,
@@ -187,6 +195,22 @@
 	return waited
 }
 
+// past tells whether an incarnation of an engine is over: it was seen here before the present one, or no report has
+// shown it for as long as the network could hold one back.
+func (d *duty) past(e *directory.Endpoint) func(string) bool {
+	return func(incarnation string) bool {
+		if e.Past(incarnation) {
+			return true
+		}
+		since, ok := d.unseen[incarnation]
+		if !ok {
+			d.unseen[incarnation] = d.Clock.Now()
+			return false
+		}
+		return d.Clock.Since(since) > d.DeliveryBound
+	}
+}
+
 func (d *duty) isFlying(id string) bool {
 	d.flyingMu.Lock()
 	defer d.flyingMu.Unlock()
--- a/internal/holder/plan.go
+++ b/internal/holder/plan.go
@@ -91,7 +91,7 @@
 	return placement.Runner{
 		Name:     e.VM.Name,
 		Slots:    reported.Report.Slots,
-		Accounts: book.Accounts(e.VM.Name, reported.Report),
+		Accounts: book.Accounts(e.VM.Name, reported.Report, d.past(e)),
 		Leaving:  e.Leaving() || !d.trusted(e),
 	}
 }
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -28,8 +28,9 @@
 // FreeBytes returns what a new load may take.
 func (a Account) FreeBytes() int64 { return a.CapacityBytes - a.ReservedBytes }
 
-// Accounts returns the memory of each accelerator of an endpoint under its last report.
-func (l Ledger) Accounts(name string, report endpoint.Report) []Account {
+// Accounts returns the memory of each accelerator of an endpoint under its last report; past tells whether an
+// incarnation of the engine is known to be over.
+func (l Ledger) Accounts(name string, report endpoint.Report, past func(incarnation string) bool) []Account {
 	accounts := make([]Account, len(report.Accelerators))
 	for i, accelerator := range report.Accelerators {
 		accounts[i] = Account{
@@ -48,7 +49,7 @@
 		addOpen(accounts, o.Intent)
 	}
 	for _, settled := range l.book(name).Settled {
-		if settled.hasEffect(report) {
+		if settled.mayHide(report, past) {
 			addSettled(accounts, settled.Intent)
 		}
 	}
@@ -76,7 +77,7 @@
 	models[intent.Model] = status
 }
 
-// addSettled counts a load that the engine has answered and that an older report doesn't show.
+// addSettled counts a load that has had its effect and that an older report doesn't show.
 func addSettled(accounts []Account, intent Intent) {
 	if intent.Accelerator < 0 || intent.Accelerator >= len(accounts) {
 		return
--- a/internal/ledger/book.go
+++ b/internal/ledger/book.go
@@ -25,12 +25,16 @@
 	Settled []Settled
 }
 
-// hasEffect reports whether a settled load may be on the engine although a report does not show it.
-func (s Settled) hasEffect(report endpoint.Report) bool {
-	return s.Intent.Action == endpoint.Load &&
-		s.Settlement.Reason == Answered &&
-		s.Settlement.Incarnation == report.Incarnation &&
-		s.Settlement.Sequence > report.Sequence
+// mayHide reports whether a settled load may be on the engine although a report, being older, does not show it. past
+// tells whether an incarnation of the engine is known to be over.
+func (s Settled) mayHide(report endpoint.Report, past func(incarnation string) bool) bool {
+	if s.Intent.Action != endpoint.Load || s.Settlement.Reason == Refused || s.Settlement.Reason == NeverSent {
+		return false
+	}
+	if s.Settlement.Incarnation == report.Incarnation {
+		return s.Settlement.Sequence > report.Sequence
+	}
+	return !past(s.Settlement.Incarnation)
 }
 
 func (b Book) withOpen(o Open) Book {
--- a/internal/ledger/settle.go
+++ b/internal/ledger/settle.go
@@ -9,9 +9,8 @@
 // Facts is what a holder knows when it tries to settle an open intent.
 type Facts struct {
 	Report endpoint.Report
-	// OwnFence is the fencing number that the holder puts on its orders.
-	OwnFence uint64
-	Enforces bool
+	// FencePersists tells that the engine enforces fencing and keeps its number over restarts.
+	FencePersists bool
 	// SenderGone tells that the VM list no longer has the sender.
 	SenderGone bool
 	// Waited is for how long the holder has seen the intent abandoned, or its sender gone.
@@ -21,8 +20,8 @@
 
 // Settle returns why an open intent's order can have no further effect, or false while it may.
 //
-// A restart of the engine alone settles nothing: a sender paused between its last check and the send would reach
-// the new incarnation.
+// A restart of the engine settles nothing: a sender paused between its last check and the send would reach the new
+// incarnation, and an engine that forgets its fencing number in a restart would carry out what it refused before.
 func Settle(o Open, f Facts) (Settlement, bool) {
 	reason, ok := reasonFor(o, f)
 	return Settlement{
@@ -40,10 +39,8 @@
 	switch {
 	case newer && shows(f.Report, o.Intent) == (o.Intent.Action == endpoint.Load):
 		return Seen, true
-	case f.Enforces && sameRun && f.Report.Fence > uint64(o.Intent.Fence)<<16:
+	case f.FencePersists && f.Report.Fence > o.Intent.OrderFence():
 		return Fenced, true
-	case o.Abandoned && !sameRun:
-		return Restarted, true
 	case gone && f.Waited > f.DeliveryBound:
 		return Expired, true
 	default:
--- a/internal/ledger/settlement.go
+++ b/internal/ledger/settlement.go
@@ -13,9 +13,7 @@
 	NeverSent Reason = "NeverSent"
 	// Seen means that a later report shows the one possible effect of the order.
 	Seen Reason = "Seen"
-	// Restarted means that the sender's connection is closed and the engine has restarted since.
-	Restarted Reason = "Restarted"
-	// Fenced means that the engine enforces fencing and has accepted a higher number.
+	// Fenced means that the engine has accepted a higher fencing number, which it keeps over restarts.
 	Fenced Reason = "Fenced"
 	// Expired means that the network's delivery bound has passed since the sender gave the order up or was gone.
 	Expired Reason = "Expired"
