--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -124,7 +124,7 @@
 	if !ok {
 		polling, cancel := context.WithCancel(ctx)
 		t = &tracked{
-			endpoint: newEndpoint(vm),
+			endpoint: NewEndpoint(vm),
 			cancel:   cancel,
 		}
 		d.endpoints[vm.Name] = t
@@ -210,22 +210,9 @@
 }
 
 func (d *Directory) rebuild() {
-	v := &View{
-		byService: make(map[string][]*Endpoint),
-		byModel:   make(map[string][]*Endpoint),
-		entries:   d.entries,
-	}
+	endpoints := make([]*Endpoint, 0, len(d.endpoints))
 	for _, t := range d.endpoints {
-		e := t.endpoint
-		v.endpoints = append(v.endpoints, e)
-		v.byService[e.VM.Service] = append(v.byService[e.VM.Service], e)
-		reported, ok := e.Reported()
-		if !ok {
-			continue
-		}
-		for _, model := range readyModels(reported.Report) {
-			v.byModel[model] = append(v.byModel[model], e)
-		}
+		endpoints = append(endpoints, t.endpoint)
 	}
-	d.view.Store(v)
+	d.view.Store(NewView(endpoints, d.entries))
 }
--- a/internal/directory/endpoint.go
+++ b/internal/directory/endpoint.go
@@ -28,7 +28,8 @@
 	Asked time.Time
 }
 
-func newEndpoint(vm vmlist.VM) *Endpoint {
+// NewEndpoint returns an endpoint of which nothing is known yet.
+func NewEndpoint(vm vmlist.VM) *Endpoint {
 	return &Endpoint{
 		VM:   vm,
 		Load: routing.NewLoad(),
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -10,6 +10,27 @@
 	entries   []vmlist.VM
 }
 
+// NewView returns the picture of endpoints of one failure domain and of the entry VMs of all.
+func NewView(endpoints []*Endpoint, entries []vmlist.VM) *View {
+	v := &View{
+		endpoints: endpoints,
+		byService: make(map[string][]*Endpoint),
+		byModel:   make(map[string][]*Endpoint),
+		entries:   entries,
+	}
+	for _, e := range endpoints {
+		v.byService[e.VM.Service] = append(v.byService[e.VM.Service], e)
+		reported, ok := e.Reported()
+		if !ok {
+			continue
+		}
+		for _, model := range readyModels(reported.Report) {
+			v.byModel[model] = append(v.byModel[model], e)
+		}
+	}
+	return v
+}
+
 // Endpoints returns every endpoint of this failure domain.
 func (v *View) Endpoints() []*Endpoint { return v.endpoints }
 
