--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -18,13 +18,13 @@
 const patience = time.Minute
 
 // newWorld starts a deployment with its configuration in force and its models preloaded.
-func newWorld(t *testing.T, d deployment.Deployment, replicas int) *demo.World {
+func newWorld(t testing.TB, d deployment.Deployment, replicas int) *demo.World {
 	t.Helper()
 	world, err := demo.New(demo.Options{
 		Deployment: d,
 		Seed:       1,
 		Logger:     slog.New(slog.DiscardHandler),
-		Adjust:     func(s *settings.Settings) { s.Limits.DrainDelay = 0 },
+		Adjust:     func(s *settings.Settings) { s.Limits.DrainDelay = 100 * time.Millisecond },
 	})
 	require.NoError(t, err)
 	t.Cleanup(world.Close)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -33,6 +33,8 @@
 	mu        sync.Mutex
 	endpoints map[string]*tracked
 	entries   []vmlist.VM
+	listed    bool
+	warm      bool
 	view      atomic.Pointer[View]
 }
 
@@ -58,6 +60,22 @@
 // View returns the newest picture.
 func (d *Directory) View() *View { return d.view.Load() }
 
+// Warm reports whether the VM list was read and every endpoint then on it was asked for a report.
+func (d *Directory) Warm() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.warm || !d.listed {
+		return d.warm
+	}
+	for _, t := range d.endpoints {
+		if !t.endpoint.polled.Load() {
+			return false
+		}
+	}
+	d.warm = true
+	return true
+}
+
 // Run polls until ctx ends.
 func (d *Directory) Run(ctx context.Context) error {
 	var pollers sync.WaitGroup
@@ -93,6 +111,7 @@
 	defer d.mu.Unlock()
 	listed := make(map[string]bool, len(vms))
 	d.entries = d.entries[:0:0]
+	d.listed = true
 	for _, vm := range vms {
 		if vm.Role == vmlist.EntryRole {
 			d.entries = append(d.entries, vm)
@@ -158,6 +177,7 @@
 	defer cancel()
 	asked := d.clock.Now()
 	report, err := d.engine.Report(asking, e.VM.Address)
+	defer e.polled.Store(true)
 	if ctx.Err() != nil {
 		return
 	}
--- a/internal/directory/endpoint.go
+++ b/internal/directory/endpoint.go
@@ -16,6 +16,7 @@
 	Load *routing.Load
 
 	leaving  atomic.Bool
+	polled   atomic.Bool
 	past     sync.Map
 	mu       sync.Mutex
 	reported atomic.Pointer[Reported]
--- /dev/null
+++ b/internal/endpoint/httpendpoint/once_test.go
@@ -0,0 +1,139 @@
+package httpendpoint_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/endpoint/httpendpoint"
+)
+
+// breakingServer answers the first request of each connection and, at the second, executes it and breaks the connection.
+func breakingServer(t *testing.T) (address string, executed *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	executed = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveThenBreak(conn, executed)
+		}
+	}()
+	return listener.Addr().String(), executed
+}
+
+func serveThenBreak(conn net.Conn, executed *atomic.Int64) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n := 1; ; n++ {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		executed.Add(1)
+		if n > 1 {
+			return
+		}
+		if _, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")); err != nil {
+			return
+		}
+	}
+}
+
+func post(t *testing.T, address string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/deposits", http.NoBody)
+	require.NoError(t, err)
+	request.Header.Set("Idempotency-Key", "deposit-1")
+	return request
+}
+
+// The trap is real: a plain client sends the call again when the connection it reused breaks.
+func TestPlainClientRepeatsAKeyedPost(t *testing.T) {
+	address, executed := breakingServer(t)
+	client := &http.Client{
+		Transport: &http.Transport{},
+	}
+	for range 2 {
+		response, err := client.Do(post(t, address))
+		require.NoError(t, err)
+		buffer := make([]byte, 2)
+		_, _ = response.Body.Read(buffer)
+		response.Body.Close()
+	}
+	require.EqualValues(t, 3, executed.Load(), "two calls were executed three times")
+}
+
+func TestForwardOnceNeverRepeatsAKeyedPost(t *testing.T) {
+	address, executed := breakingServer(t)
+	client := httpendpoint.New()
+	for range 20 {
+		response, err := client.Forward(t.Context(), address, post(t, address), true)
+		require.NoError(t, err)
+		response.Body.Close()
+	}
+	require.EqualValues(t, 20, executed.Load())
+}
+
+func TestForwardTellsUnsentFromUnanswered(t *testing.T) {
+	client := httpendpoint.New()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = client.Forward(context.Background(), closed, post(t, closed), true)
+	var unsent *endpoint.UnsentError
+	require.ErrorAs(t, err, &unsent)
+
+	address := silentServer(t)
+	_, err = client.Forward(context.Background(), address, post(t, address), true)
+	var unanswered *endpoint.UnansweredError
+	require.ErrorAs(t, err, &unanswered)
+}
+
+// silentServer reads a request and closes the connection without an answer.
+func silentServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func TestForwardKeepsRedirects(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{
+		Handler: http.RedirectHandler("/elsewhere", http.StatusTemporaryRedirect),
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	address := listener.Addr().String()
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/deposits", strings.NewReader("x"))
+	require.NoError(t, err)
+	response, err := httpendpoint.New().Forward(t.Context(), address, request, true)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.Equal(t, http.StatusTemporaryRedirect, response.StatusCode)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -184,7 +184,7 @@
 		Configuration: e.configuration.State,
 		View:          e.directory.View,
 		Poll:          e.directory.PollReport,
-		Elsewhere:     e.servedElsewhere,
+		Elsewhere:     e.ServedElsewhere,
 		Meter:         e.meter,
 		Engine:        d.Engine,
 		Clock:         d.Clock,
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -57,10 +57,11 @@
 	if len(e.directory.View().Serving(model)) > 0 {
 		return true
 	}
-	return e.servedElsewhere(model)
+	return e.ServedElsewhere(model)
 }
 
-func (e *Entry) servedElsewhere(model string) bool {
+// ServedElsewhere reports whether a linked peer of another failure domain serves a model.
+func (e *Entry) ServedElsewhere(model string) bool {
 	for _, group := range e.node.Serving(model) {
 		if len(group) > 0 {
 			return true
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -72,6 +72,9 @@
 	if e.configuration.State().Version() == 0 {
 		return refusal.New(http.StatusServiceUnavailable, refusal.NotReady, "no configuration is in force here yet")
 	}
+	if !e.directory.Warm() {
+		return refusal.New(http.StatusServiceUnavailable, refusal.NotReady, "the endpoints are not known here yet")
+	}
 	return nil
 }
 
@@ -80,7 +83,7 @@
 func (e *Entry) admitCalls(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.configuration.State().Version() == 0 {
-			e.unready().Write(w)
+			refusal.New(http.StatusServiceUnavailable, refusal.NotReady, "no configuration is in force here yet").Write(w)
 			return
 		}
 		if err := e.gate.Enter(); err != nil {
--- a/internal/modelcall/serve.go
+++ b/internal/modelcall/serve.go
@@ -56,11 +56,11 @@
 			return cancelled(p)
 		}
 		refused, again := h.afterFailure(err, p, attempt, call)
-		if !again {
-			return refused
-		}
-		next, ok := h.choose(call.WithResumeFrom(call.ResumeFrom+p.tokens), route)
-		if !ok {
+		next, found := h.choose(call, route)
+		if !again || !found {
+			if p.tokens > 0 {
+				event.AnswerCut.Log(h.Logger, slog.String("Request", call.RequestID), event.Error(err))
+			}
 			return refused
 		}
 		if p.tokens > 0 {
@@ -110,9 +110,6 @@
 		refused = failed(err, p)
 	}
 	again := attempt < maxAttempts && retryable(err) && h.budget.Retry()
-	if !again && p.tokens > 0 {
-		event.AnswerCut.Log(h.Logger, slog.String("Request", call.RequestID), event.Error(err))
-	}
 	return refused, again
 }
 
