--- a/internal/modelcall/route.go
+++ b/internal/modelcall/route.go
@@ -43,8 +43,7 @@
 			predicted: local.Predicted,
 		}
 	}
-	left := call.Deadline().Sub(now)
-	if call.Hop || (found && best.predicted <= time.Duration(spillShare*float64(left))) {
+	if call.Hop || (found && routing.Stays(best.predicted, call.Deadline().Sub(now))) {
 		return best, found
 	}
 	for _, group := range h.Neighbours.Serving(call.Model.Name) {
@@ -60,9 +59,6 @@
 	return best, found
 }
 
-// spillShare is the part of the time left up to which a call stays in its own failure domain.
-const spillShare = 0.7
-
 // attempt sends a call once and relays its answer.
 func (h *Handler[R]) attempt(ctx context.Context, call Call, to route[R], sink Sink, p *progress, controller *admission.Controller) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -30,6 +30,8 @@
 
 // Planner plans for one shard and remembers for how long demand has called for a change.
 type Planner struct {
+	// eager acts on every change of demand at once.
+	eager   bool
 	raised  map[string]time.Time
 	dropped map[string]time.Time
 }
@@ -42,6 +44,13 @@
 	}
 }
 
+// NewEager returns a planner without patience, against which the hysteresis of the others is measured.
+func NewEager() *Planner {
+	p := New()
+	p.eager = true
+	return p
+}
+
 // Plan returns the orders to give now, the most needed first.
 func (p *Planner) Plan(now time.Time, in Input) []Move {
 	s := newSketch(in)
@@ -71,8 +80,11 @@
 	}
 }
 
-func held(since map[string]time.Time, model string, now time.Time, least time.Duration) bool {
+func (p *Planner) held(since map[string]time.Time, model string, now time.Time, least time.Duration) bool {
 	began, ok := since[model]
+	if p.eager {
+		return ok
+	}
 	return ok && now.Sub(began) >= least
 }
 
@@ -100,7 +112,7 @@
 func (p *Planner) demand(now time.Time, s *sketch) {
 	for _, want := range s.ordered(func(w Want) float64 { return s.shortfall(w) }) {
 		gain := s.shortfall(want) * gainHorizon.Seconds()
-		if gain <= s.in.MovePrice || !held(p.raised, want.Model, now, raiseHold+s.in.LoadTime/2) {
+		if gain <= s.in.MovePrice || !p.held(p.raised, want.Model, now, raiseHold+s.in.LoadTime/2) {
 			continue
 		}
 		if !s.load(want, whyDemand) {
@@ -115,7 +127,7 @@
 		return
 	}
 	for _, want := range s.in.Wants {
-		if held(p.dropped, want.Model, now, dropHold) && s.replicas(want.Model) > max(s.needed(want), want.Floor) {
+		if p.held(p.dropped, want.Model, now, dropHold) && s.replicas(want.Model) > max(s.needed(want), want.Floor) {
 			s.unload(want, whySurplus)
 		}
 	}
