--- a/internal/capacity/folds.go
+++ b/internal/capacity/folds.go
@@ -32,9 +32,8 @@
 		},
 		Presets: []configuration.Preset{
 			{
-				Name:      "ordinary",
-				Replicas:  2,
-				LogOutage: configuration.RefuseCalls,
+				Name:     "ordinary",
+				Replicas: 2,
 			},
 		},
 		Store: configuration.Store{
--- a/internal/capacity/relay.go
+++ b/internal/capacity/relay.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
 
 	"github.com/cowsliparch/cowsliparch/internal/demo"
 	"github.com/cowsliparch/cowsliparch/internal/deployment"
@@ -75,6 +76,9 @@
 	}, l.err
 }
 
+// Error is the class of failures to measure.
+var Error = errs.Class("capacity")
+
 // relayWorld is one entry VM before three engines that never make a call wait.
 func relayWorld() (*demo.World, error) {
 	d := deployment.Peplos()
@@ -99,7 +103,7 @@
 		return nil, err
 	}
 	world.Preload(1)
-	return world, world.Start()
+	return world, Error.Wrap(world.Start())
 }
 
 // relayLoad opens streams.
@@ -171,7 +175,7 @@
 	began := l.clock.Now()
 	response, err := l.client.Post("http://"+address+"/v1/chat/completions", "application/json", strings.NewReader(body))
 	if err != nil {
-		return 0, err
+		return 0, Error.Wrap(err)
 	}
 	defer response.Body.Close()
 	var first time.Duration
--- a/internal/configuration/preset.go
+++ b/internal/configuration/preset.go
@@ -1,16 +1,5 @@
 package configuration
 
-// OutageRule says what happens to keyed at-most-once calls while the log service is out.
-type OutageRule string
-
-// The outage rules.
-const (
-	// RefuseCalls refuses keyed calls as not run.
-	RefuseCalls OutageRule = "Refuse"
-	// ServeMintedKeys runs calls whose key this VM minted itself and refuses the others.
-	ServeMintedKeys OutageRule = "ServeMintedKeys"
-)
-
 // Preset is one of the operators' named ways to run the system.
 type Preset struct {
 	Name string
@@ -19,8 +8,6 @@
 	Floors   []Floor `json:",omitempty"`
 	// MovePrice is the attained answers that a move must gain to be worth it.
 	MovePrice float64
-	// LogOutage rules keyed at-most-once calls while the log service is out.
-	LogOutage OutageRule
 }
 
 // Floor is the least number of replicas of one model.
--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -194,9 +194,6 @@
 		if p.MovePrice < 0 {
 			v.fault(path+".MovePrice", "must not be negative")
 		}
-		if p.LogOutage != RefuseCalls && p.LogOutage != ServeMintedKeys {
-			v.fault(path+".LogOutage", "%q is neither %q nor %q", p.LogOutage, RefuseCalls, ServeMintedKeys)
-		}
 		v.floors(path, p)
 		v.memory(path, p)
 	}
--- a/internal/demo/world.go
+++ b/internal/demo/world.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
 
 	"github.com/cowsliparch/cowsliparch/internal/configuration"
 	"github.com/cowsliparch/cowsliparch/internal/endpoint/httpendpoint"
@@ -24,6 +24,9 @@
 	"github.com/cowsliparch/cowsliparch/internal/vmlist/httpvmlist"
 )
 
+// Error is the class of failures to start a world.
+var Error = errs.Class("demo")
+
 // World is a running deployment.
 type World struct {
 	Options
@@ -45,9 +48,11 @@
 type Member struct {
 	VM    vmlist.VM
 	Entry *entry.Entry
-	stop  context.CancelFunc
-	done  chan struct{}
-	err   error
+	// Line is the VM's way to the log service.
+	Line *fakelog.Line
+	stop context.CancelFunc
+	done chan struct{}
+	err  error
 }
 
 // Stop ends the member gracefully and returns how it ended.
@@ -69,10 +74,11 @@
 		Journal: fakeservice.NewJournal(),
 		clock:   clock,
 	}
-	err := errors.Join(w.startPlatform(), w.startEndpoints(), w.startEntries())
-	if err != nil {
-		w.Close()
-		return nil, err
+	for _, start := range []func() error{w.startPlatform, w.startEndpoints, w.startEntries} {
+		if err := start(); err != nil {
+			w.Close()
+			return nil, Error.Wrap(err)
+		}
 	}
 	return w, nil
 }
@@ -186,9 +192,10 @@
 	}
 	endpoints := httpendpoint.New()
 	platform := &http.Client{}
+	line := fakelog.NewLine(httplog.New(w.logServer.URL(), platform))
 	e, err := entry.New(entry.Dependencies{
 		Settings: s,
-		Log:      httplog.New(w.logServer.URL(), platform),
+		Log:      line,
 		VMList:   httpvmlist.New(w.listServer.URL(), platform),
 		Engine:   endpoints,
 		Service:  endpoints,
@@ -209,6 +216,7 @@
 			State:         vmlist.Live,
 		},
 		Entry: e,
+		Line:  line,
 		stop:  stop,
 		done:  make(chan struct{}),
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -214,7 +214,6 @@
 			Name:      name,
 			Replicas:  replicas,
 			MovePrice: price,
-			LogOutage: configuration.RefuseCalls,
 		}
 	}
 	return []configuration.Preset{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cowsliparch/cowsliparch/internal/anchor"
@@ -228,7 +229,7 @@
 	<-held
 	stopControl()
 	_ = operators.Close()
-	return errors.Join(err, threads.Wait())
+	return errs.Combine(err, threads.Wait())
 }
 
 // duties returns the control threads.
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,101 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowsliparch/cowsliparch/internal/deployment"
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/ledger"
+	"github.com/cowsliparch/cowsliparch/internal/placement"
+)
+
+var now = time.Unix(1000, 0)
+
+func runner(name string, capacity int64, models map[string]ledger.Status) placement.Runner {
+	account := ledger.Account{
+		CapacityBytes: capacity,
+		Models:        models,
+	}
+	for _, status := range models {
+		account.ReservedBytes += status.Bytes
+	}
+	return placement.Runner{
+		Name:     name,
+		Slots:    10,
+		Accounts: []ledger.Account{account},
+	}
+}
+
+func ready(bytes int64) ledger.Status {
+	return ledger.Status{
+		Bytes:   bytes,
+		Present: true,
+		Ready:   true,
+	}
+}
+
+func TestFloorIsLoadedWhereThereIsRoom(t *testing.T) {
+	moves := placement.New().Plan(now, placement.Input{
+		Wants:    []placement.Want{{Model: "a", Bytes: 2, Floor: 1}},
+		Runners:  []placement.Runner{runner("full", 3, map[string]ledger.Status{"b": ready(2)}), runner("empty", 3, nil)},
+		MaxLoads: 1,
+	})
+	require.Len(t, moves, 1)
+	require.Equal(t, endpoint.Load, moves[0].Action)
+	require.Equal(t, "empty", moves[0].Runner)
+}
+
+func TestLastReplicaOfAnAnchorStays(t *testing.T) {
+	for _, keep := range []bool{true, false} {
+		moves := placement.New().Plan(now, placement.Input{
+			Wants: []placement.Want{
+				{Model: "wanted", Bytes: 2, Floor: 1},
+				{Model: "spare", Bytes: 2, Keep: keep},
+			},
+			Runners:  []placement.Runner{runner("only", 3, map[string]ledger.Status{"spare": ready(2)})},
+			MaxLoads: 1,
+		})
+		if keep {
+			require.Empty(t, moves, "the anchor's last replica may not make room")
+			continue
+		}
+		require.Len(t, moves, 1)
+		require.Equal(t, endpoint.Unload, moves[0].Action)
+	}
+}
+
+func TestUncertainReplicaDoesNotCount(t *testing.T) {
+	going := ready(2)
+	going.Unloading = true
+	moves := placement.New().Plan(now, placement.Input{
+		Wants: []placement.Want{
+			{Model: "wanted", Bytes: 2, Floor: 1},
+			{Model: "spare", Bytes: 2, Keep: true},
+		},
+		Runners: []placement.Runner{
+			runner("one", 2, map[string]ledger.Status{"spare": going}),
+			runner("two", 2, map[string]ledger.Status{"spare": ready(2)}),
+		},
+		MaxLoads: 1,
+	})
+	require.Empty(t, moves, "the other replica may be going")
+}
+
+func TestHomesCoverEveryFloorAlikeOnEveryVM(t *testing.T) {
+	c := deployment.Peplos().Configuration
+	for _, preset := range c.Presets {
+		homes := placement.Homes(c, preset)
+		require.Equal(t, homes, placement.Homes(c, preset))
+		for _, model := range c.Models {
+			sum := 0
+			for _, n := range homes[model.Name].Replicas {
+				sum += n
+			}
+			require.Equal(t, preset.Floor(model.Name), sum, "%s under %s", model.Name, preset.Name)
+			require.Positive(t, homes[model.Name].Replicas[homes[model.Name].Anchor])
+		}
+	}
+}
--- a/pkg/cmd/configuration/publish/publish.go
+++ b/pkg/cmd/configuration/publish/publish.go
@@ -7,12 +7,16 @@
 	"os"
 
 	"github.com/google/uuid"
+	"github.com/zeebo/errs"
 
 	"github.com/cowsliparch/cowsliparch/pkg/cmdutil"
 	"github.com/cowsliparch/cowsliparch/pkg/iostreams"
 	"github.com/cowsliparch/cowsliparch/pkg/operatorapi"
 )
 
+// Error is the class of documents that can't be read.
+var Error = errs.Class("document")
+
 // Options is what the command works with.
 type Options struct {
 	IO     *iostreams.IOStreams
@@ -87,7 +91,9 @@
 
 func read(opts *Options) ([]byte, error) {
 	if opts.Path == "-" {
-		return io.ReadAll(opts.IO.In)
+		document, err := io.ReadAll(opts.IO.In)
+		return document, Error.Wrap(err)
 	}
-	return os.ReadFile(opts.Path)
+	document, err := os.ReadFile(opts.Path)
+	return document, Error.Wrap(err)
 }
--- /dev/null
+++ b/pkg/cmd/preset/use/use_test.go
@@ -0,0 +1,93 @@
+package use_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowsliparch/cowsliparch/pkg/cmd/preset/use"
+	"github.com/cowsliparch/cowsliparch/pkg/cmdutil"
+	"github.com/cowsliparch/cowsliparch/pkg/iostreams"
+	"github.com/cowsliparch/cowsliparch/pkg/operatorapi"
+)
+
+// server answers as an entry VM would whose version in force is 7.
+func server(t *testing.T, answer operatorapi.Answer, got *operatorapi.Change) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_ = json.NewEncoder(w).Encode(operatorapi.InForce{Version: 7})
+			return
+		}
+		_ = json.NewDecoder(r.Body).Decode(got)
+		if answer == "" {
+			panic(http.ErrAbortHandler)
+		}
+		_ = json.NewEncoder(w).Encode(operatorapi.Outcome{
+			ID:      got.ID,
+			Answer:  answer,
+			Version: 8,
+			Winner:  "other",
+		})
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestUse(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		args     []string
+		answer   operatorapi.Answer
+		code     cmdutil.ExitCode
+		wantBase uint64
+		wantOut  string
+	}{
+		{
+			name:     "accepted",
+			answer:   operatorapi.Accepted,
+			wantBase: 7,
+			wantOut:  "Accepted version 8\n",
+		},
+		{
+			name:     "conflict names the winner",
+			answer:   operatorapi.Conflict,
+			code:     cmdutil.ExitConflict,
+			wantBase: 7,
+			wantOut:  "Conflict version 8 is in force, put there by change other\n",
+		},
+		{
+			name:     "base given",
+			args:     []string{"-base", "5"},
+			answer:   operatorapi.Accepted,
+			wantBase: 5,
+			wantOut:  "Accepted version 8\n",
+		},
+		{
+			name:     "lost answer is unknown, never failed",
+			code:     cmdutil.ExitUnknown,
+			wantBase: 7,
+			wantOut:  "UnknownYet",
+		},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var got operatorapi.Change
+			streams, _, out, _ := iostreams.Test()
+			f := &cmdutil.Factory{
+				IOStreams:  streams,
+				HTTPClient: func() *http.Client { return http.DefaultClient },
+			}
+			args := append([]string{"peak", "-entry", server(t, tt.answer, &got)}, tt.args...)
+			err := use.NewCommand(f, nil).Execute(t.Context(), args, out)
+			require.Equal(t, tt.code, cmdutil.CodeOf(err))
+			require.Equal(t, "peak", got.Preset)
+			require.Equal(t, tt.wantBase, got.Base)
+			require.NotEmpty(t, got.ID)
+			require.Contains(t, out.String(), tt.wantOut)
+		})
+	}
+}
