--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package capacity_test
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -19,3 +20,19 @@
 		}
 	}
 }
+
+// BenchmarkRelay reports what an entry VM adds to streams that are open at once.
+func BenchmarkRelay(b *testing.B) {
+	for _, streams := range []int{1, 100, 1000} {
+		b.Run(strconv.Itoa(streams), func(b *testing.B) {
+			for b.Loop() {
+				cost, err := capacity.Relay(clockwork.NewRealClock(), streams)
+				require.NoError(b, err)
+				b.ReportMetric(cost.AddedP50.Seconds()*1000, "added-p50-ms")
+				b.ReportMetric(cost.AddedP99.Seconds()*1000, "added-p99-ms")
+				b.ReportMetric(cost.MicrosPerToken, "us/token")
+				b.ReportMetric(cost.KilobytesAStream, "KB/stream")
+			}
+		})
+	}
+}
