Count the live entry VMs of a failure domain in one place

Cause: the read-through found the same loop in the directory, the lease rank and the demand scale. Change: directory.View.LiveEntries serves all three; behaviour is as before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -198,7 +198,7 @@
 	if report.Leaving {
 		d.leave(e)
 	}
-	e.Load.Report(report, asked, d.neighbours())
+	e.Load.Report(report, asked, len(d.View().LiveEntries(d.domain)))
 	before, newer := e.accept(Reported{
 		Report: report,
 		Asked:  asked,
@@ -225,17 +225,6 @@
 	}
 }
 
-// neighbours returns how many entry VMs of this failure domain share its endpoints.
-func (d *Directory) neighbours() int {
-	n := 0
-	for _, vm := range d.View().entries {
-		if vm.FailureDomain == d.domain && vm.State == vmlist.Live {
-			n++
-		}
-	}
-	return n
-}
-
 func (d *Directory) rebuild() {
 	endpoints := make([]*Endpoint, 0, len(d.endpoints))
 	for _, t := range d.endpoints {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -42,3 +42,14 @@
 
 // Entries returns the entry VMs of every failure domain, this one included.
 func (v *View) Entries() []vmlist.VM { return v.entries }
+
+// LiveEntries returns the entry VMs of a failure domain that aren't leaving.
+func (v *View) LiveEntries(domain string) []vmlist.VM {
+	var live []vmlist.VM
+	for _, vm := range v.entries {
+		if vm.FailureDomain == domain && vm.State == vmlist.Live {
+			live = append(live, vm)
+		}
+	}
+	return live
+}
--- a/internal/entry/threads.go
+++ b/internal/entry/threads.go
@@ -9,7 +9,6 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/configuration"
 	"github.com/cowsliparch/cowsliparch/internal/event"
-	"github.com/cowsliparch/cowsliparch/internal/vmlist"
 )
 
 // demandInterval is how often demand is shared with the failure domain.
@@ -70,12 +69,7 @@
 // evenly: a VM is linked to a fixed number of them only.
 func (e *Entry) demandScale(now time.Time) float64 {
 	heard := 1 + e.heard.since(now.Add(-heardFor))
-	all := 0
-	for _, vm := range e.entries() {
-		if vm.FailureDomain == e.Settings.VM.FailureDomain && vm.State == vmlist.Live {
-			all++
-		}
-	}
+	all := len(e.directory.View().LiveEntries(e.Settings.VM.FailureDomain))
 	return max(1, float64(all)/float64(heard))
 }
 
--- a/internal/holder/tenure.go
+++ b/internal/holder/tenure.go
@@ -13,7 +13,6 @@
 	"github.com/cowsliparch/cowsliparch/internal/lease"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/record"
-	"github.com/cowsliparch/cowsliparch/internal/vmlist"
 )
 
 const (
@@ -87,8 +86,8 @@
 func (t *tenure) rank() int {
 	own := rankWeight(t.VM, t.shard)
 	rank := 0
-	for _, vm := range t.View().Entries() {
-		if vm.FailureDomain == t.FailureDomain && vm.State == vmlist.Live && rankWeight(vm.Name, t.shard) < own {
+	for _, vm := range t.View().LiveEntries(t.FailureDomain) {
+		if rankWeight(vm.Name, t.shard) < own {
 			rank++
 		}
 	}
