--- a/internal/booking/desk.go
+++ b/internal/booking/desk.go
@@ -17,11 +17,26 @@
 type Options struct {
 	Partitions    int
 	FlushInterval time.Duration
-	DedupeWindow  time.Duration
+	// Batchers returns how many VMs batch each partition; the more there are, the longer each gathers, so that together
+	// they stay within what the log takes.
+	Batchers     func() int
+	DedupeWindow time.Duration
 	// Timeout is how long a claim may take before the call is refused as not run.
 	Timeout time.Duration
 }
 
+// appendsPerSecond is what all batchers together may ask of the log.
+const appendsPerSecond = 100
+
+// flush returns how long a partition gathers before it appends.
+func (o Options) flush() time.Duration {
+	batchers := 1
+	if o.Batchers != nil {
+		batchers = o.Batchers()
+	}
+	return max(o.FlushInterval, time.Duration(batchers*o.Partitions)*time.Second/appendsPerSecond)
+}
+
 // Desk is a batcher: it claims keys by appending to the claim streams itself.
 type Desk struct {
 	partitions []*partition
@@ -34,7 +49,7 @@
 		options: options,
 	}
 	for i := range options.Partitions {
-		d.partitions = append(d.partitions, newPartition(i, options.DedupeWindow, options.FlushInterval, options.Timeout, log, clock, logger))
+		d.partitions = append(d.partitions, newPartition(i, options, log, clock, logger))
 	}
 	return d
 }
--- a/internal/booking/partition.go
+++ b/internal/booking/partition.go
@@ -39,7 +39,7 @@
 type partition struct {
 	tail    *fold.Tail[claim.State]
 	queue   chan item
-	flush   time.Duration
+	flush   func() time.Duration
 	timeout time.Duration
 	clock   clockwork.Clock
 	logger  *slog.Logger
@@ -49,12 +49,12 @@
 	firstWant sync.Once
 }
 
-func newPartition(number int, window, flush, timeout time.Duration, log logservice.Log, clock clockwork.Clock, logger *slog.Logger) *partition {
+func newPartition(number int, options Options, log logservice.Log, clock clockwork.Clock, logger *slog.Logger) *partition {
 	return &partition{
-		tail:    fold.NewTail(claim.New(window), log, claim.Stream(number), clock, logger),
+		tail:    fold.NewTail(claim.New(options.DedupeWindow), log, claim.Stream(number), clock, logger),
 		queue:   make(chan item, queueLength),
-		flush:   flush,
-		timeout: timeout,
+		flush:   options.flush,
+		timeout: options.Timeout,
 		clock:   clock,
 		logger:  logger,
 		wanted:  make(chan struct{}),
@@ -112,7 +112,7 @@
 func (p *partition) gather(ctx context.Context, first item) []item {
 	items := []item{first}
 	size := first.size()
-	flush := p.clock.After(p.flush)
+	flush := p.clock.After(p.flush())
 	for len(items) < batchEntries && size < batchBytes {
 		select {
 		case next := <-p.queue:
--- /dev/null
+++ b/internal/capacity/decisions.go
@@ -0,0 +1,136 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cowsliparch/cowsliparch/internal/admission"
+	"github.com/cowsliparch/cowsliparch/internal/configuration"
+	"github.com/cowsliparch/cowsliparch/internal/directory"
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/ledger"
+	"github.com/cowsliparch/cowsliparch/internal/placement"
+	"github.com/cowsliparch/cowsliparch/internal/routing"
+	"github.com/cowsliparch/cowsliparch/internal/vmlist"
+)
+
+// Choice measures one choice of an endpoint, by the number of replicas it is made among.
+func Choice(clock clockwork.Clock) Series {
+	var points []Point
+	for _, replicas := range []int{75, 150, 300, 600} {
+		var endpoints []*directory.Endpoint
+		for i := range replicas {
+			e := directory.NewEndpoint(vmlist.VM{
+				Name: fmt.Sprintf("runner-%d", i),
+			})
+			e.Load.Report(endpoint.Report{
+				Incarnation:      "i",
+				Sequence:         1,
+				Slots:            64,
+				Running:          i % 64,
+				PrefillPerSecond: 20000,
+			}, clock.Now(), 1)
+			endpoints = append(endpoints, e)
+		}
+		now := clock.Now()
+		points = append(points, Point{
+			Size:  float64(replicas),
+			Value: micros(each(clock, func() { routing.Choose(endpoints, nil, 100, now, nil) })),
+		})
+	}
+	return newSeries("choice of an endpoint", "replicas", "us", points)
+}
+
+// Admission measures one decision to admit and its end, by the number of callers with calls in flight.
+func Admission(clock clockwork.Clock) Series {
+	var points []Point
+	for _, callers := range []int{10, 100, 1000, 10000} {
+		c := admission.New(nil)
+		request := admission.Request{
+			Class: configuration.People,
+			Bound: time.Second,
+		}
+		for i := range callers {
+			request.Caller = fmt.Sprintf("caller-%d", i)
+			c.Decide(request)
+		}
+		points = append(points, Point{
+			Size: float64(callers),
+			Value: micros(each(clock, func() {
+				c.Decide(request)
+				c.Ended(request.Caller)
+			})),
+		})
+	}
+	return newSeries("admission of a call", "callers", "us", points)
+}
+
+// Plan measures one plan of a shard of ten runners, by the number of models.
+func Plan(clock clockwork.Clock) Series {
+	var points []Point
+	for _, models := range []int{225, 450, 900, 1800} {
+		in := planInput(models)
+		planner := placement.New()
+		now := clock.Now()
+		points = append(points, Point{
+			Size:  float64(models),
+			Value: micros(each(clock, func() { planner.Plan(now, in) })) / 1000,
+		})
+	}
+	return newSeries("plan of a shard", "models", "ms", points)
+}
+
+func planInput(models int) placement.Input {
+	in := placement.Input{
+		MovePrice: 1,
+		MaxLoads:  1,
+	}
+	replicas := Models * ReplicasOfAModel / (Runners / shardRunners) / shardRunners
+	for i := range shardRunners {
+		runner := placement.Runner{
+			Name:  fmt.Sprintf("runner-%d", i),
+			Slots: 64,
+		}
+		for a := range Accelerators / Runners {
+			account := ledger.Account{
+				CapacityBytes: 80 * gib,
+				ReservedBytes: 70 * gib,
+				Models:        make(map[string]ledger.Status),
+			}
+			for m := range max(replicas/(Accelerators/Runners), 1) {
+				account.Models[fmt.Sprintf("model-%d", (i*31+a*7+m)%models)] = ledger.Status{
+					Bytes:   20 * gib,
+					Present: true,
+					Ready:   true,
+				}
+			}
+			runner.Accounts = append(runner.Accounts, account)
+		}
+		in.Runners = append(in.Runners, runner)
+	}
+	for i := range models {
+		in.Wants = append(in.Wants, placement.Want{
+			Model:          fmt.Sprintf("model-%d", i),
+			Bytes:          20 * gib,
+			Elsewhere:      true,
+			CallsPerSecond: float64(i%50) / 10,
+			AnswerTime:     7 * time.Second,
+		})
+	}
+	return in
+}
+
+// Homes measures spreading a preset's floors over every shard, by the number of models.
+func Homes(clock clockwork.Clock) Series {
+	var points []Point
+	for _, models := range []int{225, 450, 900, 1800} {
+		c := configurationOf(models)
+		points = append(points, Point{
+			Size:  float64(models),
+			Value: micros(each(clock, func() { placement.Homes(c, c.Presets[0]) })) / 1000,
+		})
+	}
+	return newSeries("floors spread over shards", "models", "ms", points)
+}
--- /dev/null
+++ b/internal/capacity/reports.go
@@ -0,0 +1,99 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cowsliparch/cowsliparch/internal/endpoint/httpendpoint"
+	"github.com/cowsliparch/cowsliparch/internal/fake"
+	"github.com/cowsliparch/cowsliparch/internal/fake/fakeengine"
+	"github.com/cowsliparch/cowsliparch/internal/fake/fakelog"
+	"github.com/cowsliparch/cowsliparch/internal/fake/fakestore"
+	"github.com/cowsliparch/cowsliparch/internal/fleet"
+	"github.com/cowsliparch/cowsliparch/internal/fold"
+	"github.com/cowsliparch/cowsliparch/internal/logservice/httplog"
+)
+
+// Reports measures one poll of an engine's report, by the number of models loaded on the engine.
+func Reports(clock clockwork.Clock) (bytes, cpu Series, err error) {
+	var sizes, work []Point
+	client := httpendpoint.New()
+	for _, models := range []int{6, 12, 24, 48} {
+		engine := fakeengine.New(fakeengine.Options{
+			Accelerators:     Accelerators / Runners,
+			AcceleratorBytes: 1 << 50,
+			Slots:            64,
+		}, fakestore.New(1, 1), nil, clock, 1)
+		for i := range models {
+			engine.Preload(i%(Accelerators/Runners), fmt.Sprintf("model-%d", i), 1<<34)
+		}
+		server, err := fake.Serve(engine.Handler())
+		if err != nil {
+			return bytes, cpu, err
+		}
+		body, err := json.Marshal(engine.Report())
+		if err != nil {
+			return bytes, cpu, err
+		}
+		sizes = append(sizes, Point{
+			Size:  float64(models),
+			Value: float64(len(body)) + httpOverhead,
+		})
+		used := cpuTime()
+		n := 0
+		for began := clock.Now(); clock.Since(began) < minTime; n++ {
+			if _, err := client.Report(context.Background(), server.Address); err != nil {
+				return bytes, cpu, err
+			}
+		}
+		work = append(work, Point{
+			Size:  float64(models),
+			Value: micros(cpuTime()-used) / float64(n),
+		})
+		server.Close()
+	}
+	return newSeries("report polled", "models on the engine", "B", sizes),
+		newSeries("report polled, both ends", "models on the engine", "us", work), nil
+}
+
+// httpOverhead is about what the headers of a request and its response take.
+const httpOverhead = 300
+
+// Tail measures reading and folding records of a stream from the log service, by the number of records.
+func Tail(clock clockwork.Clock) (Series, error) {
+	var points []Point
+	for _, records := range []int{2000, 4000, 8000, 16000} {
+		log := fakelog.New(clock, 1)
+		server, err := fake.Serve(log.Handler())
+		if err != nil {
+			return Series{}, err
+		}
+		payloads := fleetRecords(clock.Now(), records/ordersPerRunner/2+1)
+		for _, r := range payloads[:records] {
+			if _, err := log.Append(context.Background(), "stream", r.Payload); err != nil {
+				return Series{}, err
+			}
+		}
+		tail := fold.NewTail(fleet.New(), httplog.New(server.URL(), &http.Client{}), "stream", clock, slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		used := cpuTime()
+		go func() { _ = tail.Run(ctx) }()
+		_, err = tail.Wait(ctx, func(s fleet.State) bool { return int(s.Through()) >= records })
+		points = append(points, Point{
+			Size:  float64(records),
+			Value: micros(cpuTime()-used) / 1000,
+		})
+		cancel()
+		server.Close()
+		if err != nil {
+			return Series{}, err
+		}
+	}
+	return newSeries("records read and folded, both ends", "records", "ms", points), nil
+}
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -15,6 +15,9 @@
 	Presets        []Preset
 	Objectives     []Objective `json:",omitempty"`
 	Store          Store
+
+	// index finds models by name; a configuration that was not decoded has none and is searched.
+	index map[string]Model
 }
 
 // FailureDomain is a group of VMs that fail together.
@@ -42,9 +45,24 @@
 	if err := decoder.Decode(&c); err != nil {
 		return Configuration{}, &DocumentError{Cause: err}
 	}
+	c.index = c.newIndex()
 	return c, nil
 }
 
+// newIndex maps the names of models and adapters to the models that serve them.
+func (c Configuration) newIndex() map[string]Model {
+	index := make(map[string]Model, len(c.Models)+len(c.Adapters))
+	for _, model := range c.Models {
+		index[model.Name] = model
+	}
+	for _, adapter := range c.Adapters {
+		if model, ok := index[adapter.Model]; ok {
+			index[adapter.Name] = model
+		}
+	}
+	return index
+}
+
 // Encode returns the JSON document of a configuration.
 func (c Configuration) Encode() ([]byte, error) {
 	document, err := json.MarshalIndent(c, "", "  ")
@@ -56,6 +74,10 @@
 
 // Model returns the model that a name stands for, directly or as an adapter.
 func (c Configuration) Model(name string) (Model, bool) {
+	if c.index != nil {
+		model, ok := c.index[name]
+		return model, ok
+	}
 	for _, adapter := range c.Adapters {
 		if adapter.Name == name {
 			name = adapter.Model
--- a/internal/demo/publish.go
+++ b/internal/demo/publish.go
@@ -46,6 +46,19 @@
 	return nil
 }
 
+// startTimeout is how long a world may take to load its models.
+const startTimeout = 2 * time.Minute
+
+// Start publishes the configuration and waits until every model can be reached.
+func (w *World) Start() error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := w.Publish(ctx); err != nil {
+		return err
+	}
+	return w.WaitServing(ctx)
+}
+
 const readyInterval = 20 * time.Millisecond
 
 // WaitServing waits until every model is ready at some endpoint that each failure domain can reach.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -16,10 +16,13 @@
 )
 
 const (
-	listInterval   = time.Second
-	reportInterval = 250 * time.Millisecond
-	reportTimeout  = time.Second
-	listTimeout    = 2 * time.Second
+	listInterval = time.Second
+	// minReportInterval is the time between two reports of an engine; it grows by reportSpacing with each endpoint of
+	// the failure domain.
+	minReportInterval = 250 * time.Millisecond
+	reportSpacing     = 20 * time.Millisecond
+	reportTimeout     = time.Second
+	listTimeout       = 2 * time.Second
 )
 
 // Directory polls the VM list and the reports of the endpoints in one failure domain.
@@ -166,11 +169,15 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-d.clock.After(reportInterval):
+		case <-d.clock.After(d.reportInterval()):
 		}
 	}
 }
 
+func (d *Directory) reportInterval() time.Duration {
+	return max(minReportInterval, time.Duration(len(d.View().Endpoints()))*reportSpacing)
+}
+
 // PollReport asks an endpoint for its report now; a plain service has none and is left alone.
 func (d *Directory) PollReport(ctx context.Context, e *Endpoint) {
 	asking, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 	burn          *burn.Recorder
 	demand        *modelcall.Demand
 	domainDemand  *modelcall.Demand
+	heard         heard
 	decisions     *modelcall.Decisions
 	models        *modelcall.Handler[peer.Remote]
 	plain         *plaincall.Handler
@@ -117,6 +118,7 @@
 	e.desk = booking.New(booking.Options{
 		Partitions:    d.Settings.Calls.Partitions,
 		FlushInterval: d.Settings.Calls.FlushInterval,
+		Batchers:      func() int { return len(e.State().Configuration().FailureDomains) },
 		DedupeWindow:  d.Settings.Calls.DedupeWindow,
 		Timeout:       d.Settings.Calls.OutcomeTimeout,
 	}, d.Log, d.Clock, d.Logger)
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -35,7 +35,23 @@
 }
 
 // Demand implements peer.Local.
-func (e *Entry) Demand(_ string, counts map[string]uint64) { e.domainDemand.Add(counts) }
+func (e *Entry) Demand(name string, counts map[string]uint64) {
+	if !e.Neighbour(name) {
+		return
+	}
+	e.heard.note(name, e.Clock.Now())
+	e.domainDemand.Add(counts)
+}
+
+// Neighbour implements peer.Local.
+func (e *Entry) Neighbour(name string) bool {
+	for _, vm := range e.entries() {
+		if vm.Name == name {
+			return vm.FailureDomain == e.Settings.VM.FailureDomain
+		}
+	}
+	return false
+}
 
 // Desk implements peer.Local.
 func (e *Entry) Desk() booking.Batcher { return e.desk }
--- a/internal/entry/threads.go
+++ b/internal/entry/threads.go
@@ -9,11 +9,15 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/configuration"
 	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/vmlist"
 )
 
 // demandInterval is how often demand is shared with the failure domain.
 const demandInterval = time.Second
 
+// heardFor is for how long a VM counts as heard.
+const heardFor = 5 * time.Second
+
 // watchConfiguration logs each version as it comes in force here.
 func (e *Entry) watchConfiguration(ctx context.Context) error {
 	version := e.configuration.State().Version()
@@ -57,11 +61,24 @@
 		case <-e.Clock.After(demandInterval):
 		}
 		now := e.Clock.Now()
-		e.meter.Observe(e.domainDemand.Take(), now.Sub(last))
+		e.meter.Observe(e.domainDemand.Take(), now.Sub(last), e.demandScale(now))
 		last = now
 	}
 }
 
+// demandScale extrapolates from the VMs heard lately to all of the failure domain, among which the balancer spreads calls
+// evenly: a VM is linked to a fixed number of them only.
+func (e *Entry) demandScale(now time.Time) float64 {
+	heard := 1 + e.heard.since(now.Add(-heardFor))
+	all := 0
+	for _, vm := range e.entries() {
+		if vm.FailureDomain == e.Settings.VM.FailureDomain && vm.State == vmlist.Live {
+			all++
+		}
+	}
+	return max(1, float64(all)/float64(heard))
+}
+
 func (e *Entry) registerGauges() {
 	gauge := func(name, help string, value func() float64) {
 		e.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -80,5 +97,8 @@
 	gauge("cowsliparch_cross_region_bytes", "Bytes of calls and answers exchanged with other regions.", func() float64 {
 		return float64(e.node.CrossRegionBytes())
 	})
+	gauge("cowsliparch_peer_bytes", "Bytes exchanged with peers.", func() float64 {
+		return float64(e.node.Bytes() + e.peers.Bytes())
+	})
 	gauge("cowsliparch_peers_alive", "Linked peers that answer heartbeats.", func() float64 { return float64(len(e.node.Alive())) })
 }
--- a/internal/holder/anchors.go
+++ b/internal/holder/anchors.go
@@ -23,7 +23,7 @@
 
 // take moves to this shard the anchors of the models at home here, once a replica of each is certain.
 func (d *duty) take(ctx context.Context, endpoints []*directory.Endpoint) {
-	homes := d.currentHomes(d.Configuration())
+	homes, _ := d.currentHomes(d.Configuration())
 	certain := d.certain(endpoints)
 	state := d.Anchors.State()
 	from := make(map[string]string)
--- a/internal/holder/duty.go
+++ b/internal/holder/duty.go
@@ -78,7 +78,7 @@
 }
 
 // reportAge bounds how old a report may be for orders to be decided on it; the ledger keeps what settled since.
-const reportAge = 3 * time.Second
+const reportAge = 5 * time.Second
 
 // endpoints returns the endpoints of the shard that have reported lately.
 func (d *duty) endpoints() []*directory.Endpoint {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -54,6 +54,7 @@
 	homesMu sync.Mutex
 	homesAt logservice.Offset
 	homes   map[string]placement.Home
+	sizes   map[string]int64
 }
 
 // New returns a holder.
@@ -63,15 +64,17 @@
 	}
 }
 
-// currentHomes returns where the replicas of the preset in force belong, worked out once for each version.
-func (h *Holder) currentHomes(state configuration.State) map[string]placement.Home {
+// currentHomes returns where the replicas of the preset in force belong and how large they are, worked out once for
+// each version.
+func (h *Holder) currentHomes(state configuration.State) (map[string]placement.Home, map[string]int64) {
 	h.homesMu.Lock()
 	defer h.homesMu.Unlock()
 	if h.homes == nil || h.homesAt != state.Version() {
 		h.homes = placement.Homes(state.Configuration(), state.Preset())
+		h.sizes = placement.ReplicaBytes(state.Configuration())
 		h.homesAt = state.Version()
 	}
-	return h.homes
+	return h.homes, h.sizes
 }
 
 // Run keeps a duty going for each shard of the configuration in force, until ctx ends and the leases are released.
--- a/internal/holder/plan.go
+++ b/internal/holder/plan.go
@@ -51,7 +51,7 @@
 		MovePrice: preset.MovePrice,
 		LoadTime:  loadTime,
 	}
-	homes := d.currentHomes(current)
+	homes, sizes := d.currentHomes(current)
 	anchors := d.Anchors.State()
 	service := ""
 	for _, shard := range placement.Shards(c) {
@@ -67,7 +67,7 @@
 		calls, answer := d.Meter.Demand(model.Name)
 		in.Wants = append(in.Wants, placement.Want{
 			Model:          model.Name,
-			Bytes:          c.ReplicaBytes(model),
+			Bytes:          sizes[model.Name],
 			Floor:          homes[model.Name].Replicas[d.shard],
 			Keep:           !known || held == d.shard,
 			Elsewhere:      d.Elsewhere(model.Name),
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -12,6 +13,8 @@
 	maxFrameBytes = 8 << 20
 	sendQueue     = 1024
 	writeTimeout  = 5 * time.Second
+	// frameHeader is what WebSocket, TCP and IP add to a small frame.
+	frameHeader = 6 + 40
 )
 
 // ClosedError reports a link that has ended.
@@ -36,9 +39,11 @@
 	out    chan frame
 	done   chan struct{}
 	cancel context.CancelFunc
+	// bytes counts what this side sent and received.
+	bytes *atomic.Uint64
 }
 
-func newConn(ctx context.Context, socket *websocket.Conn) (context.Context, *conn) {
+func newConn(ctx context.Context, socket *websocket.Conn, bytes *atomic.Uint64) (context.Context, *conn) {
 	ctx, stop := context.WithCancel(ctx)
 	socket.SetReadLimit(maxFrameBytes)
 	c := &conn{
@@ -46,6 +51,7 @@
 		out:    make(chan frame, sendQueue),
 		done:   make(chan struct{}),
 		cancel: stop,
+		bytes:  bytes,
 	}
 	go c.write(ctx)
 	return ctx, c
@@ -73,6 +79,7 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, writeTimeout)
 	defer stop()
+	c.bytes.Add(uint64(len(payload)) + frameHeader)
 	return c.socket.Write(ctx, websocket.MessageBinary, payload)
 }
 
@@ -94,6 +101,7 @@
 	if err != nil {
 		return f, &ClosedError{Cause: err}
 	}
+	c.bytes.Add(uint64(len(payload)) + frameHeader)
 	if err := cbor.Unmarshal(payload, &f); err != nil {
 		return f, &ClosedError{Cause: err}
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -26,17 +26,17 @@
 
 // beat asks a peer whether it lives and tells it what the sender knows.
 type beat struct {
-	Name          string
-	Incarnation   string
-	FailureDomain string
+	// Name is set in the first beat on a link only.
+	Name string `cbor:",omitempty"`
 	// Demand is the calls by model that the sender counted since its last beat on this link.
 	Demand map[string]uint64 `cbor:",omitempty"`
 }
 
 // pulse answers a beat.
 type pulse struct {
-	Incarnation string
-	Stopping    bool
+	// Incarnation is set in the first pulse on a link only.
+	Incarnation string `cbor:",omitempty"`
+	Stopping    bool   `cbor:",omitempty"`
 	// Through is how far the peer has folded the Configuration stream.
 	Through logservice.Offset
 	// Levels is the models whose wait level changed since the last pulse on this link; NotServed takes one off.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return
 	}
-	ctx, c := newConn(ctx, socket)
+	ctx, c := newConn(ctx, socket, &l.node.bytes)
 	defer c.close()
 	l.mu.Lock()
 	l.conn = c
@@ -114,6 +114,7 @@
 // beat sends heartbeats and ends the connection when they go unanswered.
 func (l *Link) beat(ctx context.Context, c *conn) {
 	defer c.close()
+	name := l.node.name
 	for {
 		l.mu.Lock()
 		silent := l.clock.Since(l.answered) > missedBeats*l.node.heartbeat
@@ -125,12 +126,11 @@
 		}
 		err := c.send(ctx, frame{
 			Beat: &beat{
-				Name:          l.node.name,
-				Incarnation:   l.node.incarnation,
-				FailureDomain: l.node.domain,
-				Demand:        demand,
+				Name:   name,
+				Demand: demand,
 			},
 		})
+		name = ""
 		if err != nil {
 			return
 		}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -34,6 +34,7 @@
 	logger      *slog.Logger
 
 	crossed atomic.Uint64
+	bytes   atomic.Uint64
 
 	mu    sync.Mutex
 	links map[string]*tracked
@@ -177,6 +178,9 @@
 // CrossRegionBytes returns how many bytes of calls and answers this VM exchanged with other regions.
 func (n *Node) CrossRegionBytes() uint64 { return n.crossed.Load() }
 
+// Bytes returns how many bytes of frames this VM exchanged on the links that it opened.
+func (n *Node) Bytes() uint64 { return n.bytes.Load() }
+
 // Alive returns the names of the linked peers that answer.
 func (n *Node) Alive() []string {
 	n.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -23,6 +24,8 @@
 	Stopping() bool
 	// Levels returns the wait level of each model that this failure domain serves.
 	Levels() map[string]int8
+	// Neighbour reports whether a peer is of the same failure domain, and so needs no levels.
+	Neighbour(peer string) bool
 	// Demand takes in what a peer counted.
 	Demand(peer string, counts map[string]uint64)
 	// Desk returns the VM's own desk, on which it batches for its peers.
@@ -38,8 +41,12 @@
 	incarnation string
 	local       Local
 	clock       clockwork.Clock
+	bytes       atomic.Uint64
 }
 
+// Bytes returns how many bytes of frames this VM exchanged on the links that peers opened.
+func (s *Server) Bytes() uint64 { return s.bytes.Load() }
+
 // NewServer returns a server that speaks for one incarnation of a VM.
 func NewServer(incarnation string, local Local, clock clockwork.Clock) *Server {
 	return &Server{
@@ -55,7 +62,7 @@
 	if err != nil {
 		return
 	}
-	ctx, c := newConn(r.Context(), socket)
+	ctx, c := newConn(r.Context(), socket, &s.bytes)
 	defer c.close()
 	l := &session{
 		server: s,
@@ -80,7 +87,9 @@
 type session struct {
 	server  *Server
 	conn    *conn
+	name    string
 	sent    map[string]int8
+	beaten  bool
 	calling sync.WaitGroup
 
 	mu    sync.Mutex
@@ -90,7 +99,10 @@
 func (l *session) handle(ctx context.Context, f frame) error {
 	switch {
 	case f.Beat != nil:
-		l.server.local.Demand(f.Beat.Name, f.Beat.Demand)
+		if f.Beat.Name != "" {
+			l.name = f.Beat.Name
+		}
+		l.server.local.Demand(l.name, f.Beat.Demand)
 		return l.conn.send(ctx, frame{
 			Call:  f.Call,
 			Pulse: l.pulse(),
@@ -113,12 +125,18 @@
 
 func (l *session) pulse() *pulse {
 	local := l.server.local
-	return &pulse{
-		Incarnation: l.server.incarnation,
-		Stopping:    local.Stopping(),
-		Through:     local.State().Through(),
-		Levels:      changes(l.sent, local.Levels()),
+	p := &pulse{
+		Stopping: local.Stopping(),
+		Through:  local.State().Through(),
+	}
+	if !local.Neighbour(l.name) {
+		p.Levels = changes(l.sent, local.Levels())
+	}
+	if !l.beaten {
+		l.beaten = true
+		p.Incarnation = l.server.incarnation
 	}
+	return p
 }
 
 // changes returns what differs between the levels sent so far and the present ones, and notes it as sent.
--- a/internal/peer/targets.go
+++ b/internal/peer/targets.go
@@ -11,9 +11,9 @@
 
 const (
 	// domainFanOut is how many VMs of its own failure domain a VM is linked to.
-	domainFanOut = 8
-	// remoteFanOut is how many VMs of each other failure domain a VM is linked to.
-	remoteFanOut = 2
+	domainFanOut = 4
+	// remoteFanOut is how many VMs of all other failure domains together a VM is linked to, at least one of each.
+	remoteFanOut = 4
 )
 
 // Targets returns the VMs that self is linked to: a fixed number in each failure domain, however many there are,
@@ -27,7 +27,7 @@
 	}
 	var targets []vmlist.VM
 	for name, vms := range byDomain {
-		fanOut := remoteFanOut
+		fanOut := max(1, remoteFanOut/max(1, others(byDomain, domain)))
 		if name == domain {
 			fanOut = domainFanOut
 		}
@@ -39,4 +39,13 @@
 	return targets
 }
 
+// others counts the failure domains that are not this one.
+func others(byDomain map[string][]vmlist.VM, domain string) int {
+	n := len(byDomain)
+	if _, ok := byDomain[domain]; ok {
+		n--
+	}
+	return n
+}
+
 func weight(self, other string) uint64 { return xxhash.Sum64String(self + "\n" + other) }
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -36,7 +36,7 @@
 	slices.SortFunc(models, func(a, b configuration.Model) int {
 		return cmp.Or(cmp.Compare(b.MemoryBytes, a.MemoryBytes), cmp.Compare(a.Name, b.Name))
 	})
-	sizes := replicaBytes(c)
+	sizes := ReplicaBytes(c)
 	homes := make(map[string]Home, len(models))
 	for _, model := range models {
 		homes[model.Name] = home(rank(model.Name, byService[model.Service]), preset.Floor(model.Name), sizes[model.Name], free)
@@ -44,8 +44,8 @@
 	return homes
 }
 
-// replicaBytes returns the size of a replica of each model in one pass over the adapters.
-func replicaBytes(c configuration.Configuration) map[string]int64 {
+// ReplicaBytes returns the size of a replica of each model in one pass over the adapters.
+func ReplicaBytes(c configuration.Configuration) map[string]int64 {
 	sizes := make(map[string]int64, len(c.Models))
 	for _, model := range c.Models {
 		sizes[model.Name] = model.MemoryBytes
--- a/internal/placement/meter.go
+++ b/internal/placement/meter.go
@@ -31,15 +31,15 @@
 	}
 }
 
-// Observe takes in the calls counted since the last time, elapsed ago.
-func (m *Meter) Observe(counts map[string]uint64, elapsed time.Duration) {
+// Observe takes in the calls counted since the last time, elapsed ago, on one in scale VMs.
+func (m *Meter) Observe(counts map[string]uint64, elapsed time.Duration, scale float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for model := range counts {
 		m.rate(model)
 	}
 	for model, r := range m.rates {
-		perSecond := float64(counts[model]) / elapsed.Seconds()
+		perSecond := scale * float64(counts[model]) / elapsed.Seconds()
 		r.fast += fastDecay * (perSecond - r.fast)
 		r.slow += slowDecay * (perSecond - r.slow)
 	}
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -10,6 +10,8 @@
 	bestFew = 4
 	// nearBest is how much later than the best a candidate may be and still be chosen.
 	nearBest = 20 * time.Millisecond
+	// maxLookedAt bounds how many candidates one choice looks at, about.
+	maxLookedAt = 64
 )
 
 // Choice is where a call goes and when its first token is expected.
@@ -23,7 +25,14 @@
 func Choose[C Candidate](candidates []C, exclude C, prefill int, now time.Time, random *rand.Rand) (Choice[C], bool) {
 	var few [bestFew]Choice[C]
 	n := 0
-	for _, c := range candidates {
+	step, at := 1, 0
+	if len(candidates) > maxLookedAt {
+		// A random part of very many is nearly as good as all of them.
+		step = len(candidates) / maxLookedAt
+		at = draw(random, step)
+	}
+	for ; at < len(candidates); at += step {
+		c := candidates[at]
 		if c == exclude {
 			continue
 		}
--- /dev/null
+++ b/pkg/cmd/capacity/measure/doc.go
@@ -0,0 +1,2 @@
+// Package measure implements the command "cowsliparch capacity measure".
+package measure
--- /dev/null
+++ b/pkg/cmd/capacity/measure/measure.go
@@ -0,0 +1,63 @@
+package measure
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cowsliparch/cowsliparch/internal/capacity"
+	"github.com/cowsliparch/cowsliparch/pkg/cmdutil"
+	"github.com/cowsliparch/cowsliparch/pkg/iostreams"
+)
+
+// Options is what the command works with.
+type Options struct {
+	IO    *iostreams.IOStreams
+	Clock func() clockwork.Clock
+	Page  string
+	JSON  bool
+}
+
+// NewCommand returns the command; run replaces its work in tests.
+func NewCommand(f *cmdutil.Factory, run func(context.Context, *Options) error) *cmdutil.Command {
+	opts := &Options{
+		IO:    f.IOStreams,
+		Clock: f.Clock,
+	}
+	if run == nil {
+		run = measureRun
+	}
+	return &cmdutil.Command{
+		Use:   "measure",
+		Short: "Measure slopes on this machine and work out each role's cost at the target size",
+		Long: "Measure slopes on this machine and work out each role's cost at the target size.\n\n" +
+			"It takes about three minutes, keeps to loopback and wants an otherwise idle machine.",
+		Example: "  $ cowsliparch capacity measure\n  $ cowsliparch capacity measure -write docs/CAPACITY.md",
+		Flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&opts.Page, "write", "", "replace the generated part of this `page`")
+			flags.BoolVar(&opts.JSON, "json", false, "write JSON")
+		},
+		Run: func(ctx context.Context, _ []string) error {
+			return run(ctx, opts)
+		},
+	}
+}
+
+func measureRun(_ context.Context, opts *Options) error {
+	results, err := capacity.Measure(opts.Clock(), func(what string) {
+		fmt.Fprintf(opts.IO.ErrOut, "Measuring %s\n", what)
+	})
+	if err != nil {
+		return err
+	}
+	if opts.Page != "" {
+		return results.Write(opts.Page)
+	}
+	if opts.JSON {
+		return cmdutil.WriteJSON(opts.IO.Out, results)
+	}
+	_, err = fmt.Fprint(opts.IO.Out, results.Markdown())
+	return err
+}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -1,6 +1,7 @@
 package root
 
 import (
+	"github.com/cowsliparch/cowsliparch/pkg/cmd/capacity/measure"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/configuration/publish"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/configuration/show"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/demo"
@@ -30,6 +31,8 @@
 			noun("report", "Report what the system did",
 				burn.NewCommand(f, nil)),
 			explain.NewCommand(f, nil),
+			noun("capacity", "Work out what the target size costs",
+				measure.NewCommand(f, nil)),
 			load.NewCommand(f, nil),
 			noun("settings", "Check settings files",
 				check.NewCommand(f, nil), example.NewCommand(f, nil)),
