--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -24,7 +24,7 @@
 	mu       sync.Mutex
 	inFlight map[string]int
 	total    int
-	margin   margin
+	margins  map[configuration.Class]*margin
 }
 
 // New returns a controller; random spreads the times to retry, and nil takes the process's own source.
@@ -32,6 +32,7 @@
 	return &Controller{
 		random:   random,
 		inFlight: make(map[string]int),
+		margins:  make(map[configuration.Class]*margin),
 	}
 }
 
@@ -39,12 +40,15 @@
 func (c *Controller) Decide(r Request) Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if r.Begun {
+		return c.admit(r.Caller)
+	}
 	bound := r.Bound
 	if r.Class == configuration.Batch {
 		bound = time.Duration(batchShare * float64(bound))
 	}
-	bound -= c.margin.within(bound)
-	if r.Predicted > bound {
+	bound -= c.margin(r.Class).of(bound)
+	if !Fits(r.Predicted, r.Cost, bound) {
 		return Decision{
 			RetryAfter: c.retryAfter(r.Predicted - bound),
 		}
@@ -55,18 +59,31 @@
 			RetryAfter: c.retryAfter(r.Predicted),
 		}
 	}
-	c.inFlight[r.Caller]++
+	return c.admit(r.Caller)
+}
+
+func (c *Controller) admit(caller string) Decision {
+	c.inFlight[caller]++
 	c.total++
 	return Decision{
 		Admit: true,
 	}
 }
 
-// FirstToken tells the controller how the prediction of an admitted call turned out.
-func (c *Controller) FirstToken(predicted, actual time.Duration) {
+// FirstToken tells the controller whether an admitted call had its first token in time.
+func (c *Controller) FirstToken(class configuration.Class, late bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.margin.observe(actual - predicted)
+	c.margin(class).observe(late)
+}
+
+func (c *Controller) margin(class configuration.Class) *margin {
+	m, ok := c.margins[class]
+	if !ok {
+		m = &margin{}
+		c.margins[class] = m
+	}
+	return m
 }
 
 // Ended gives an admitted call back.
--- a/internal/admission/margin.go
+++ b/internal/admission/margin.go
@@ -3,26 +3,29 @@
 import "time"
 
 const (
-	marginStep     = 5 * time.Millisecond
-	marginQuantile = 0.99
-	// marginShare bounds the margin as a part of the bound.
-	marginShare = 0.5
+	// lateTarget is the part of the admitted calls that may be late.
+	lateTarget = 0.004
+	// marginStep is how far one late call moves the margin, as a part of the bound.
+	marginStep  = 0.03
+	leastMargin = 0.0
+	mostMargin  = 0.5
 )
 
-// margin follows a high quantile of how much later than predicted first tokens come.
+// margin is the part of the bound that is kept back, so that about lateTarget of the admitted calls are late. It falls
+// below 0 where predictions turn out too careful.
 type margin struct {
-	value time.Duration
+	share float64
 }
 
-// observe moves the margin a step towards the quantile of the errors seen.
-func (m *margin) observe(late time.Duration) {
-	if late > m.value {
-		m.value += time.Duration(marginQuantile * float64(marginStep))
+// observe moves the margin after an admitted call had its first token.
+func (m *margin) observe(late bool) {
+	if late {
+		m.share = min(m.share+marginStep*(1-lateTarget), mostMargin)
 		return
 	}
-	m.value = max(0, m.value-time.Duration((1-marginQuantile)*float64(marginStep)))
+	m.share = max(m.share-marginStep*lateTarget, leastMargin)
 }
 
-func (m *margin) within(bound time.Duration) time.Duration {
-	return min(m.value, time.Duration(marginShare*float64(bound)))
+func (m *margin) of(bound time.Duration) time.Duration {
+	return time.Duration(m.share * float64(bound))
 }
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -12,6 +12,10 @@
 	Class  configuration.Class
 	// Bound is the time left until the first token is due.
 	Bound time.Duration
+	// Begun tells that the call was admitted before, and its endpoint failed: it goes before calls that are new.
+	Begun bool
+	// Cost is the engine's time for the call's own prompt.
+	Cost time.Duration
 	// Predicted is the expected time to the first token at the best endpoint.
 	Predicted time.Duration
 }
--- a/internal/experiment/call.go
+++ b/internal/experiment/call.go
@@ -27,6 +27,16 @@
 	first     time.Duration
 	started   bool
 	over      bool
+	// begun tells that the call was admitted before, and its engine failed.
+	begun bool
+}
+
+// bound is the time left for the next token: the first one, or the one at which a broken answer goes on.
+func (c *call) bound(now time.Duration) time.Duration {
+	if c.first > 0 {
+		return c.objective.FirstToken.Duration
+	}
+	return c.due() - now
 }
 
 func (c *call) due() time.Duration { return c.arrived + c.objective.FirstToken.Duration }
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -77,9 +77,10 @@
 	for domain, presence := range service.Presence {
 		for i := range presence.Runners {
 			e := &engine{
-				name:   fmt.Sprintf("runner-%d-%d", domain, i),
-				domain: domain,
-				size:   w.deployment.Engine,
+				name:      fmt.Sprintf("runner-%d-%d", domain, i),
+				domain:    domain,
+				size:      w.deployment.Engine,
+				answering: make(map[*call]bool),
 			}
 			e.waiting.fifo = w.policy.fifo()
 			for range service.Accelerators {
@@ -247,7 +248,9 @@
 }
 
 func (w *world) firstToken(c *call) {
-	c.first = w.now + c.crossing
+	if c.first == 0 {
+		c.first = w.now + c.crossing
+	}
 	c.started = true
 	w.policy.firstToken(c)
 }
@@ -263,8 +266,14 @@
 	}
 }
 
+// lost ends a call whose engine failed, unless it goes on elsewhere from the token that its caller has.
 func (w *world) lost(c *call) {
-	c.over = true
 	w.policy.ended(c)
+	c.started = false
+	if w.policy.again(c) {
+		w.result.Admitted--
+		return
+	}
+	c.over = true
 	w.result.Lost++
 }
--- a/internal/modelcall/call.go
+++ b/internal/modelcall/call.go
@@ -30,6 +30,8 @@
 	Hop bool
 	// ResumeFrom is the number of tokens that the caller has already.
 	ResumeFrom int
+	// Begun tells that the call was admitted before, and its endpoint failed.
+	Begun bool
 }
 
 // request is the part of a chat-completion request that matters here.
--- a/internal/modelcall/route.go
+++ b/internal/modelcall/route.go
@@ -19,6 +19,8 @@
 	remote    R
 	isRemote  bool
 	predicted time.Duration
+	// cost is the time for the call's own prompt.
+	cost time.Duration
 }
 
 func (r route[R]) name() string {
@@ -41,6 +43,7 @@
 		best = route[R]{
 			local:     local.Candidate,
 			predicted: local.Predicted,
+			cost:      local.Candidate.Load.Cost(call.Prefill),
 		}
 	}
 	if call.Hop || (found && routing.Stays(best.predicted, call.Deadline().Sub(now))) {
@@ -65,7 +68,7 @@
 	defer cancel()
 	sent := h.Clock.Now()
 	observe := func() {
-		controller.FirstToken(to.predicted, h.Clock.Now().Sub(sent))
+		controller.FirstToken(call.Model.Class, h.Clock.Now().After(call.Deadline()))
 	}
 	if to.isRemote {
 		return h.attemptRemote(ctx, call, to, sink, p, observe)
--- a/internal/modelcall/serve.go
+++ b/internal/modelcall/serve.go
@@ -67,6 +67,7 @@
 			event.AnswerResumed.Log(h.Logger, slog.String("Request", call.RequestID), slog.Int("Tokens", p.tokens))
 		}
 		route = next
+		call.Begun = true
 	}
 }
 
@@ -81,7 +82,9 @@
 		Caller:    call.Caller,
 		Class:     call.Model.Class,
 		Bound:     call.Deadline().Sub(h.Clock.Now()),
+		Begun:     call.Begun,
 		Predicted: best.predicted,
+		Cost:      best.cost,
 	})
 	if decision.Admit {
 		return best, nil
--- /dev/null
+++ b/internal/page/doc.go
@@ -0,0 +1,2 @@
+// Package page replaces the generated part of a Markdown page.
+package page
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -52,6 +52,7 @@
 	Caller     string
 	Body       []byte
 	ResumeFrom int
+	Begun      bool `cbor:",omitempty"`
 	// Left is the time until the first token is due.
 	Left time.Duration
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -220,6 +220,7 @@
 			Caller:     call.Caller,
 			Body:       call.Body,
 			ResumeFrom: call.ResumeFrom,
+			Begun:      call.Begun,
 			Left:       call.Deadline().Sub(l.clock.Now()) - l.cost,
 		},
 	}, answerQueue)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -198,6 +198,7 @@
 	}
 	call.Hop = true
 	call.ResumeFrom = g.ResumeFrom
+	call.Begun = g.Begun
 	call.Objective.FirstToken.Duration = g.Left
 	return local.Serve(ctx, call, &frameSink{
 		ctx:  ctx,
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -11,7 +11,7 @@
 	// targetUse is the part of a replica's slots that demand should fill.
 	targetUse = 0.6
 	// raiseHold and dropHold are for how long demand must call for a change before it is made.
-	raiseHold = 2 * time.Second
+	raiseHold = 3 * time.Second
 	dropHold  = 2 * time.Minute
 	// gainHorizon is over how long a move's gain is counted against its price.
 	gainHorizon = time.Minute
@@ -30,7 +30,7 @@
 
 // Planner plans for one shard and remembers for how long demand has called for a change.
 type Planner struct {
-	// eager acts on every change of demand at once.
+	// eager acts on every change of demand at once, and frees memory that nobody asks for.
 	eager   bool
 	raised  map[string]time.Time
 	dropped map[string]time.Time
@@ -112,7 +112,7 @@
 func (p *Planner) demand(now time.Time, s *sketch) {
 	for _, want := range s.ordered(func(w Want) float64 { return s.shortfall(w) }) {
 		gain := s.shortfall(want) * gainHorizon.Seconds()
-		if gain <= s.in.MovePrice || !p.held(p.raised, want.Model, now, raiseHold+s.in.LoadTime/2) {
+		if gain <= s.in.MovePrice || !(p.eager || s.relieves(want)) || !p.held(p.raised, want.Model, now, raiseHold+s.in.LoadTime/2) {
 			continue
 		}
 		if !s.load(want, whyDemand) {
@@ -123,7 +123,7 @@
 
 // surplus frees memory only under pressure: a replica that costs nothing to keep is not worth a move.
 func (p *Planner) surplus(now time.Time, s *sketch) {
-	if !s.crowded() {
+	if !s.crowded() && !p.eager {
 		return
 	}
 	for _, want := range s.in.Wants {
--- a/internal/placement/sketch.go
+++ b/internal/placement/sketch.go
@@ -9,6 +9,9 @@
 // crowdedShare is the part of the memory above which surplus replicas are freed.
 const crowdedShare = 0.9
 
+// relief is how busy a runner may be, as a part of those that serve a model already, to be worth a further replica.
+const relief = 0.8
+
 // crossingLoss is the part of the calls that are worse off for being answered in another failure domain.
 const crossingLoss = 0.05
 
@@ -34,6 +37,8 @@
 
 type runnerSketch struct {
 	runner Runner
+	// busy is the slots that the demand on its replicas takes, if each model's is spread evenly.
+	busy   float64
 	free   []int64
 	models map[string]bool
 }
@@ -49,9 +54,44 @@
 	for _, runner := range in.Runners {
 		s.add(runner)
 	}
+	s.spread()
 	return s
 }
 
+// spread works out how busy the demand makes each runner.
+func (s *sketch) spread() {
+	for _, want := range s.in.Wants {
+		n := s.counts[want.Model]
+		if n == 0 {
+			continue
+		}
+		part := want.CallsPerSecond * want.AnswerTime.Seconds() / float64(n)
+		for _, r := range s.runners {
+			if r.models[want.Model] {
+				r.busy += part
+			}
+		}
+	}
+}
+
+// relieves reports whether the least busy runner without a replica of a model, and with room for one, is clearly less
+// busy than those that have one: where all are alike busy, one more replica answers no more calls.
+func (s *sketch) relieves(want Want) bool {
+	hosts, n := 0.0, 0
+	least := math.Inf(1)
+	for _, name := range s.order {
+		r := s.runners[name]
+		switch {
+		case r.models[want.Model]:
+			hosts += r.busy
+			n++
+		case !r.runner.Leaving:
+			least = min(least, r.busy)
+		}
+	}
+	return n == 0 || least < relief*hosts/float64(n)
+}
+
 func (s *sketch) add(runner Runner) {
 	r := &runnerSketch{
 		runner: runner,
@@ -129,7 +169,7 @@
 			continue
 		}
 		for i, free := range r.free {
-			if free >= want.Bytes && (best == nil || free > best.free[at]) {
+			if free >= want.Bytes && (best == nil || better(r, i, best, at, why)) {
 				best, at = r, i
 			}
 		}
@@ -157,6 +197,15 @@
 	return true
 }
 
+// better reports whether one accelerator suits a load more than another: for demand on the less busy runner, and
+// otherwise where there is more room.
+func better(r *runnerSketch, i int, than *runnerSketch, at int, why string) bool {
+	if why == whyDemand && r.busy != than.busy {
+		return r.busy < than.busy
+	}
+	return r.free[i] > than.free[at]
+}
+
 // makeRoom unloads the replica that is least worth keeping, if its loss is below worth. The load follows once a
 // report shows the memory free.
 func (s *sketch) makeRoom(want Want, why string, worth float64) {
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -6,7 +6,7 @@
 	// retryShare is how many retries each call earns.
 	retryShare = 0.1
 	// maxRetryCredit bounds a burst of retries after a quiet time.
-	maxRetryCredit = 10
+	maxRetryCredit = 30
 )
 
 // RetryBudget keeps retries a fixed share of the calls, so that they can't feed an overload.
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -116,6 +116,16 @@
 	return l.prefillWait(prefill, now) + l.slotWait()
 }
 
+// Cost returns the endpoint's time for a call's own prompt.
+func (l *Load) Cost(prefill int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.report.PrefillPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(prefill) / l.report.PrefillPerSecond * float64(time.Second))
+}
+
 // prefillWait is the time for the prompts ahead and this one.
 func (l *Load) prefillWait(prefill int, now time.Time) time.Duration {
 	if l.report.PrefillPerSecond <= 0 {
--- a/pkg/cmd/capacity/measure/measure.go
+++ b/pkg/cmd/capacity/measure/measure.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cowsliparch/cowsliparch/internal/capacity"
+	"github.com/cowsliparch/cowsliparch/internal/page"
 	"github.com/cowsliparch/cowsliparch/pkg/cmdutil"
 	"github.com/cowsliparch/cowsliparch/pkg/iostreams"
 )
@@ -53,7 +54,7 @@
 		return err
 	}
 	if opts.Page != "" {
-		return results.Write(opts.Page)
+		return page.Replace(opts.Page, "cowsliparch capacity measure -write docs/CAPACITY.md", results.Markdown())
 	}
 	if opts.JSON {
 		return cmdutil.WriteJSON(opts.IO.Out, results)
--- /dev/null
+++ b/pkg/cmd/experiment/run/doc.go
@@ -0,0 +1,2 @@
+// Package run implements the command "cowsliparch experiment run".
+package run
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -6,6 +6,7 @@
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/configuration/show"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/demo"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/entry"
+	"github.com/cowsliparch/cowsliparch/pkg/cmd/experiment/run"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/explain"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/load"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/preset/list"
@@ -31,6 +32,8 @@
 			noun("report", "Report what the system did",
 				burn.NewCommand(f, nil)),
 			explain.NewCommand(f, nil),
+			noun("experiment", "Set the policy against others",
+				run.NewCommand(f, nil)),
 			noun("capacity", "Work out what the target size costs",
 				measure.NewCommand(f, nil)),
 			load.NewCommand(f, nil),
