--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -36,6 +36,9 @@
 	AnswerCut             = Event{Number: 1801, Name: "AnswerCut", Level: slog.LevelWarn, Meaning: "An endpoint broke off an answer that could not be resumed.", Action: "Check the endpoint VM."}
 	AnswerResumed         = Event{Number: 1802, Name: "AnswerResumed", Level: slog.LevelInfo, Meaning: "A broken answer was resumed at another endpoint.", Action: "None."}
 	ForeignAnswerDropped  = Event{Number: 1803, Name: "ForeignAnswerDropped", Level: slog.LevelError, Meaning: "A late or crossed answer was dropped.", Action: "Check the endpoint that sent it."}
+	LeaseSeen             = Event{Number: 1304, Name: "LeaseSeen", Level: slog.LevelInfo, Meaning: "Another VM's record of the lease for orders was read.", Action: "None."}
+	LinkUp                = Event{Number: 1603, Name: "LinkUp", Level: slog.LevelInfo, Meaning: "The link to the holder of the lease for orders is up.", Action: "None."}
+	LinkDown              = Event{Number: 1604, Name: "LinkDown", Level: slog.LevelWarn, Meaning: "The link to the holder of the lease for orders is down.", Action: "Check the holder's VM if it lasts."}
 	CallAnswered          = Event{Number: 1901, Name: "CallAnswered", Level: slog.LevelInfo, Meaning: "A request was answered by a runner.", Action: "None."}
 	CallRefused           = Event{Number: 1902, Name: "CallRefused", Level: slog.LevelInfo, Meaning: "A request was refused and has not run.", Action: "See Reason, Holders and Ready; 3201 to 3205 tell why models lie where they do."}
 	CallFailed            = Event{Number: 1903, Name: "CallFailed", Level: slog.LevelWarn, Meaning: "A request ended with a failure, of the runner or in its place.", Action: "See the 1906 lines of the same request."}
@@ -46,6 +49,11 @@
 	RunnerRegistered      = Event{Number: 2001, Name: "RunnerRegistered", Level: slog.LevelInfo, Meaning: "A runner is known for the first time, or in a new incarnation.", Action: "None."}
 	RunnerChanged         = Event{Number: 2002, Name: "RunnerChanged", Level: slog.LevelInfo, Meaning: "A runner's registration changed.", Action: "None."}
 	RunnerRemoved         = Event{Number: 2003, Name: "RunnerRemoved", Level: slog.LevelInfo, Meaning: "A runner's registration is gone and it gets nothing more.", Action: "None."}
+	OrderAccepted         = Event{Number: 3201, Name: "OrderAccepted", Level: slog.LevelInfo, Meaning: "A runner accepted an order.", Action: "None."}
+	OrderDeclined         = Event{Number: 3202, Name: "OrderDeclined", Level: slog.LevelInfo, Meaning: "A runner declined an order, as another one is under way, its count of orders differs or the fencing number is old.", Action: "None."}
+	OrderLost             = Event{Number: 3203, Name: "OrderLost", Level: slog.LevelWarn, Meaning: "An order was not answered and may still be carried out; the next accepted order voids it.", Action: "None."}
+	OrderDone             = Event{Number: 3204, Name: "OrderDone", Level: slog.LevelInfo, Meaning: "A model or adapter that was ordered is loaded or gone.", Action: "None."}
+	LayoutChosen          = Event{Number: 3205, Name: "LayoutChosen", Level: slog.LevelInfo, Meaning: "The planner chose a step, with the demand that decided it.", Action: "None."}
 	SettingsReloaded      = Event{Number: 2101, Name: "SettingsReloaded", Level: slog.LevelInfo, Meaning: "The settings file was read again.", Action: "None."}
 	SettingsUnusable      = Event{Number: 2102, Name: "SettingsUnusable", Level: slog.LevelError, Meaning: "The settings file could not be used; the former settings stay.", Action: "Check the file with settings check."}
 	LinesDropped          = Event{Number: 2103, Name: "LinesDropped", Level: slog.LevelWarn, Meaning: "Log lines were dropped, as standard output did not take them in time.", Action: "Check what reads standard output."}
@@ -57,14 +65,15 @@
 		EntryStarted, EntryStopping, EntryStopped, EntryReady, StopDeadlinePassed,
 		RecordSkipped, LogUnreachable, LogReachable, LogGap,
 		ConfigurationInForce, ConfigurationConflict, ConfigurationFromPeer, SnapshotAppended,
-		LeaseAcquired, LeaseLost, LeaseReleased,
+		LeaseAcquired, LeaseLost, LeaseReleased, LeaseSeen,
 		OrderSent, OrderSettled, OrderUnanswered, ReservationStuck, OrderWithheld,
 		EndpointLeaving, EndpointUnreachable, EndpointReachable, VMListUnreachable,
-		PeerJoined, PeerLost,
+		PeerJoined, PeerLost, LinkUp, LinkDown,
 		CallUnknown, ClaimsUnavailable,
 		AnswerCut, AnswerResumed, ForeignAnswerDropped,
 		CallAnswered, CallRefused, CallFailed, CallAborted, CallerLeft, SendFailed, StreamResumed,
 		RunnerRegistered, RunnerChanged, RunnerRemoved,
 		SettingsReloaded, SettingsUnusable, LinesDropped,
+		OrderAccepted, OrderDeclined, OrderLost, OrderDone, LayoutChosen,
 	}
 }
--- a/internal/peer/conn.go
+++ b/internal/framelink/link.go
@@ -1,4 +1,4 @@
-package peer
+package framelink
 
 import (
 	"context"
@@ -33,22 +33,23 @@
 // Unwrap returns the cause.
 func (e *ClosedError) Unwrap() error { return e.Cause }
 
-// conn carries frames over one WebSocket; one thread writes what the bounded queue holds.
-type conn struct {
+// Link carries frames over one WebSocket; one thread writes what the bounded queue holds.
+type Link[F any] struct {
 	socket *websocket.Conn
-	out    chan frame
+	out    chan F
 	done   chan struct{}
 	cancel context.CancelFunc
 	// bytes counts what this side sent and received.
 	bytes *atomic.Uint64
 }
 
-func newConn(ctx context.Context, socket *websocket.Conn, bytes *atomic.Uint64) (context.Context, *conn) {
+// New starts a link over a socket; the context that it returns ends with the link, and bytes counts what passes.
+func New[F any](ctx context.Context, socket *websocket.Conn, bytes *atomic.Uint64) (context.Context, *Link[F]) {
 	ctx, stop := context.WithCancel(ctx)
 	socket.SetReadLimit(maxFrameBytes)
-	c := &conn{
+	c := &Link[F]{
 		socket: socket,
-		out:    make(chan frame, sendQueue),
+		out:    make(chan F, sendQueue),
 		done:   make(chan struct{}),
 		cancel: stop,
 		bytes:  bytes,
@@ -57,7 +58,7 @@
 	return ctx, c
 }
 
-func (c *conn) write(ctx context.Context) {
+func (c *Link[F]) write(ctx context.Context) {
 	defer close(c.done)
 	defer c.cancel()
 	for {
@@ -72,7 +73,7 @@
 	}
 }
 
-func (c *conn) writeOne(ctx context.Context, f frame) error {
+func (c *Link[F]) writeOne(ctx context.Context, f F) error {
 	payload, err := cbor.Marshal(f)
 	if err != nil {
 		return err
@@ -83,8 +84,8 @@
 	return c.socket.Write(ctx, websocket.MessageBinary, payload)
 }
 
-// send queues a frame; it waits while the queue is full.
-func (c *conn) send(ctx context.Context, f frame) error {
+// Send queues a frame; it fails with ClosedError or with the context's error while the queue is full.
+func (c *Link[F]) Send(ctx context.Context, f F) error {
 	select {
 	case c.out <- f:
 		return nil
@@ -95,8 +96,19 @@
 	}
 }
 
-func (c *conn) read(ctx context.Context) (frame, error) {
-	var f frame
+// TrySend queues a frame unless the queue is full, and reports whether it did.
+func (c *Link[F]) TrySend(f F) bool {
+	select {
+	case c.out <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read returns the next frame, or ClosedError.
+func (c *Link[F]) Read(ctx context.Context) (F, error) {
+	var f F
 	_, payload, err := c.socket.Read(ctx)
 	if err != nil {
 		return f, &ClosedError{Cause: err}
@@ -108,7 +120,8 @@
 	return f, nil
 }
 
-func (c *conn) close() {
+// Close ends the link.
+func (c *Link[F]) Close() {
 	c.cancel()
 	_ = c.socket.CloseNow()
 }
--- /dev/null
+++ b/internal/layout/plan.go
@@ -0,0 +1,226 @@
+package layout
+
+import (
+	"math"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
+)
+
+const (
+	// leastGain is the part of the whole demand that one more replica must take off the others.
+	leastGain = 0.015
+	// hysteresis is by how much a replica's gain must exceed the loss of those that make room for it.
+	hysteresis = 1.6
+	// lastReplica is the value of a model's only replica, beyond any gain.
+	lastReplica = math.MaxFloat64
+	// domainShare is the part of a gain that each replica in the same failure domain takes off it.
+	domainShare = 0.12
+	// storeShare is the part of a gain that a load from the weight store takes off it.
+	storeShare = 0.1
+)
+
+// plan holds the replicas and steps while they are worked out.
+type plan struct {
+	engine   *catalog.Engine
+	runners  []*Runner
+	demand   Demand
+	replicas map[string]int
+	taken    map[string]bool
+}
+
+// Models returns steps that load models, the most urgent first; most bounds the loads from the weight store.
+func Models(engine *catalog.Engine, runners []*Runner, demand Demand, most int) []Step {
+	p := &plan{
+		engine:   engine,
+		runners:  runners,
+		demand:   demand,
+		replicas: Replicas(runners),
+		taken:    make(map[string]bool),
+	}
+	var steps []Step
+	for {
+		step, ok := p.next(most > 0)
+		if !ok {
+			return steps
+		}
+		if step.FromStore {
+			most--
+		}
+		p.taken[step.Runner] = true
+		p.replicas[step.Load]++
+		for _, victim := range step.Unload {
+			p.replicas[victim]--
+		}
+		steps = append(steps, step)
+	}
+}
+
+// Replicas counts the runners that have each model, or soon will.
+func Replicas(runners []*Runner) map[string]int {
+	replicas := make(map[string]int)
+	for _, r := range runners {
+		if r.Leaving {
+			continue
+		}
+		for model := range r.Models {
+			replicas[model]++
+		}
+		if _, held := r.Models[r.Loading]; r.Loading != "" && !held {
+			replicas[r.Loading]++
+		}
+	}
+	return replicas
+}
+
+// value returns what the last of n replicas takes off the others.
+func (p *plan) value(model string, n int) float64 {
+	if n <= 1 {
+		return lastReplica
+	}
+	return p.demand.Work[model] / float64(n*(n-1))
+}
+
+// next returns the best step that is worth it.
+func (p *plan) next(store bool) (Step, bool) {
+	floor := leastGain * p.demand.total()
+	var best Step
+	found := false
+	for _, model := range p.engine.Models {
+		n := p.replicas[model.Name]
+		gain := p.value(model.Name, n+1)
+		if gain <= floor || (found && gain < best.Gain) {
+			continue
+		}
+		if found && gain == best.Gain && p.demand.Work[model.Name] <= best.Work {
+			continue
+		}
+		step, ok := p.place(model, gain, store)
+		if ok {
+			best, found = step, true
+		}
+	}
+	return best, found
+}
+
+// place finds the runner where the model costs least.
+func (p *plan) place(model catalog.Model, gain float64, store bool) (Step, bool) {
+	domains := p.domains(model.Name)
+	best := math.Inf(1)
+	var chosen Step
+	for _, r := range p.runners {
+		if r.Busy || r.Leaving || p.taken[r.ID] || r.has(model.Name) {
+			continue
+		}
+		fromStore := !r.atHand(model.Name)
+		if fromStore && !store {
+			continue
+		}
+		victims, cost, ok := p.room(r, model)
+		if !ok || (gain < lastReplica && gain < hysteresis*cost) {
+			continue
+		}
+		score := cost + preference(gain, p.demand.total())*domainShare*float64(domains[r.FailureDomain])
+		if fromStore {
+			score += preference(gain, p.demand.total()) * storeShare
+		}
+		if score < best {
+			best = score
+			chosen = Step{
+				Runner:    r.ID,
+				Unload:    victims,
+				Load:      model.Name,
+				FromStore: fromStore,
+				Work:      p.demand.Work[model.Name],
+				Replicas:  p.replicas[model.Name],
+				Gain:      gain,
+				Cost:      cost,
+			}
+		}
+	}
+	return chosen, chosen.Runner != ""
+}
+
+// preference scales what is only preferred by the gain, which is unbounded for a model without a replica.
+func preference(gain, total float64) float64 { return min(gain, total+1) }
+
+// domains counts the replicas of a model by failure domain.
+func (p *plan) domains(model string) map[string]int {
+	domains := make(map[string]int)
+	for _, r := range p.runners {
+		if !r.Leaving && r.has(model) {
+			domains[r.FailureDomain]++
+		}
+	}
+	return domains
+}
+
+// room returns which models must leave a runner for another to fit, and what they are worth.
+func (p *plan) room(r *Runner, model catalog.Model) ([]string, float64, bool) {
+	free := p.engine.WeightsMB - p.used(r) - model.WeightsMB - p.adapterReserve()
+	var victims []string
+	cost := 0.0
+	for free < 0 {
+		victim, worth := p.cheapest(r, victims)
+		if victim == "" {
+			return nil, 0, false
+		}
+		m, _ := p.engine.Model(victim)
+		free += m.WeightsMB
+		cost += worth
+		victims = append(victims, victim)
+	}
+	return victims, cost, true
+}
+
+// cheapest returns the model of a runner that can best be done without.
+func (p *plan) cheapest(r *Runner, without []string) (string, float64) {
+	name, least := "", lastReplica
+	for model := range r.Models {
+		if worth := p.value(model, p.replicas[model]); worth < least && !contains(without, model) {
+			name, least = model, worth
+		}
+	}
+	return name, least
+}
+
+// used returns the weights of the models on a runner; adapters are covered by the reserve.
+func (p *plan) used(r *Runner) float64 {
+	sum := 0.0
+	for model := range r.Models {
+		m, ok := p.engine.Model(model)
+		if !ok {
+			// A model that the configuration no longer lists still takes its place.
+			m.WeightsMB = p.largest()
+		}
+		sum += m.WeightsMB
+	}
+	return sum
+}
+
+func (p *plan) largest() float64 {
+	most := 0.0
+	for _, m := range p.engine.Models {
+		most = max(most, m.WeightsMB)
+	}
+	return most
+}
+
+// adapterReserve is the memory kept for every adapter place at its largest.
+func (p *plan) adapterReserve() float64 {
+	most := 0.0
+	for _, m := range p.engine.Models {
+		if m.Adapters > 0 {
+			most = max(most, m.AdapterMB)
+		}
+	}
+	return most * float64(p.engine.AdapterPlaces)
+}
+
+func contains(list []string, name string) bool {
+	for _, other := range list {
+		if other == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/layout/runner.go
@@ -0,0 +1,39 @@
+package layout
+
+import "slices"
+
+// Runner is what the planner knows of one runner.
+type Runner struct {
+	ID            string
+	FailureDomain string
+	// Models is the adapters of each model that the runner has.
+	Models map[string][]string
+	// Loading is the model of a step under way.
+	Loading string
+	// Busy runners take no further step now.
+	Busy bool
+	// Leaving runners count for nothing.
+	Leaving bool
+	// InMemory and OnDisk name models that load without the weight store.
+	InMemory []string
+	OnDisk   []string
+}
+
+func (r *Runner) has(model string) bool {
+	_, ok := r.Models[model]
+	return ok || r.Loading == model
+}
+
+// atHand reports whether the runner has a copy of the model's weights.
+func (r *Runner) atHand(model string) bool {
+	return slices.Contains(r.InMemory, model) || slices.Contains(r.OnDisk, model)
+}
+
+// adapters returns how many adapter places are taken.
+func (r *Runner) adapters() int {
+	n := 0
+	for _, list := range r.Models {
+		n += len(list)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/mesh/frame.go
@@ -0,0 +1,52 @@
+package mesh
+
+import (
+	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+// Member is an entry VM.
+type Member struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	Incarnation   string
+}
+
+// frame is one message on a link; one field is set.
+type frame struct {
+	Hello   *Member         `cbor:",omitempty"`
+	Demand  []orders.Demand `cbor:",omitempty"`
+	Missing *missing        `cbor:",omitempty"`
+	Ask     *ask            `cbor:",omitempty"`
+	Pulse   *pulse          `cbor:",omitempty"`
+	Holding []holding       `cbor:",omitempty"`
+	// Configuration is in the store's own form.
+	Configuration []byte          `cbor:",omitempty"`
+	Runners       []roster.Runner `cbor:",omitempty"`
+}
+
+type holding = orders.Holding
+
+type missing struct {
+	Service string
+	Model   string
+	Adapter string
+}
+
+// ask asks for what the sender can't read from the store.
+type ask struct {
+	// Version is the configuration that the sender has.
+	Version uint64
+	Runners bool
+}
+
+// pulse tells that the sender is alive, and what it is.
+type pulse struct {
+	// Holds tells that the sender holds the lease for orders.
+	Holds bool
+	// Version is the configuration in force at the sender.
+	Version uint64
+	// Members lists the VMs linked to the holder, itself included.
+	Members []Member
+}
--- /dev/null
+++ b/internal/orders/book.go
@@ -0,0 +1,65 @@
+package orders
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/layout"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+// believed is for how long the outcome of own orders goes before the runner's registration, which lags.
+const believed = 3 * time.Second
+
+// book is what the holder knows of one runner.
+type book struct {
+	runner *roster.Runner
+	// orders is how many orders the runner has accepted; unknown until a report was read.
+	orders uint64
+	known  bool
+	models map[string][]string
+	// until is how long models goes before the registration.
+	until   time.Time
+	busy    bool
+	loading string
+}
+
+// follow takes in the runner's registration.
+func (b *book) follow(r *roster.Runner, now time.Time) {
+	if b.runner == nil || b.runner.Born != r.Born {
+		*b = book{busy: b.busy && b.runner != nil && b.runner.Born == r.Born}
+	}
+	b.runner = r
+	if b.busy || now.Before(b.until) {
+		return
+	}
+	b.models = byModel(r.Models)
+}
+
+// settle takes in what a report or an order showed.
+func (b *book) settle(models map[string][]string, now time.Time) {
+	b.models = models
+	b.until = now.Add(believed)
+}
+
+func byModel(holdings []roster.Holding) map[string][]string {
+	models := make(map[string][]string, len(holdings))
+	for _, h := range holdings {
+		models[h.Model] = slices.Clone(h.Adapters)
+	}
+	return models
+}
+
+// view returns the runner as the planner sees it.
+func (b *book) view() *layout.Runner {
+	return &layout.Runner{
+		ID:            b.runner.ID,
+		FailureDomain: b.runner.FailureDomain,
+		Models:        b.models,
+		Loading:       b.loading,
+		Busy:          b.busy,
+		Leaving:       b.runner.Draining,
+		InMemory:      b.runner.InMemory,
+		OnDisk:        b.runner.OnDisk,
+	}
+}
--- /dev/null
+++ b/internal/orders/execution.go
@@ -0,0 +1,332 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/layout"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+const (
+	// orderTimeout bounds one order or report.
+	orderTimeout = time.Second
+	// orderTries is how often one order is sent until it is answered; all bear the same count, so one is accepted at most.
+	orderTries = 4
+	// retryPause is the pause before an order or report is sent again; reports lag by some hundred milliseconds.
+	retryPause = 300 * time.Millisecond
+	// noticeTime is how long VMs have to learn that a model is about to leave a runner.
+	noticeTime = 80 * time.Millisecond
+	// pollPause is the pause between two reports while an order is carried out.
+	pollPause = 150 * time.Millisecond
+	// patience is how long an unload may take, which waits for its runs to end, and by how much a load may exceed its time.
+	patience = 10 * time.Second
+	// adapterTime is how long an adapter is on its way, at most, while the weight store keeps up.
+	adapterTime = 12 * time.Millisecond
+)
+
+// execution carries one step out at one runner.
+type execution struct {
+	steward *Steward
+	book    *book
+	runner  *roster.Runner
+	step    layout.Step
+	service catalog.Service
+	// models, orders and known are this step's own account of the runner.
+	models  map[string][]string
+	orders  uint64
+	known   bool
+	changed bool
+}
+
+func (e *execution) run(ctx context.Context) {
+	if !e.known && !e.sync(ctx) {
+		return
+	}
+	for _, model := range e.step.Unload {
+		if !e.unload(ctx, model) {
+			return
+		}
+	}
+	if e.step.Load != "" && !e.load(ctx) {
+		return
+	}
+	for _, a := range e.step.Adapters {
+		if !e.adapter(ctx, a) {
+			return
+		}
+	}
+}
+
+// sync reads the runner's count of orders and its models.
+func (e *execution) sync(ctx context.Context) bool {
+	for range orderTries {
+		state, err := e.report(ctx)
+		if err == nil && !state.Busy {
+			e.take(state)
+			return true
+		}
+		if !e.sleep(ctx, retryPause) {
+			return false
+		}
+	}
+	return false
+}
+
+func (e *execution) take(state State) {
+	e.orders = state.Orders
+	e.known = true
+	e.models = byModel(state.Models)
+	e.changed = true
+}
+
+func (e *execution) report(ctx context.Context) (State, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return e.steward.Client.Report(ctx, e.runner)
+}
+
+func (e *execution) unload(ctx context.Context, model string) bool {
+	if _, held := e.models[model]; !held {
+		return true
+	}
+	e.announce(model, "", false)
+	if !e.sleep(ctx, noticeTime) || !e.send(ctx, Order{Unload: true, Model: model}) {
+		return false
+	}
+	return e.await(ctx, patience, func(models map[string][]string) bool {
+		_, held := models[model]
+		return !held
+	})
+}
+
+func (e *execution) load(ctx context.Context) bool {
+	model, ok := e.service.Engine.Model(e.step.Load)
+	if _, held := e.models[e.step.Load]; held || !ok || !e.fits(model) {
+		return held
+	}
+	if !e.send(ctx, Order{Model: model.Name}) {
+		return false
+	}
+	e.sleep(ctx, e.loadTime(model))
+	done := e.await(ctx, patience, func(models map[string][]string) bool {
+		_, held := models[model.Name]
+		return held
+	})
+	if done {
+		e.announce(model.Name, "", true)
+	}
+	return done
+}
+
+// fits checks the room once more against what the runner last said.
+func (e *execution) fits(model catalog.Model) bool {
+	used := model.WeightsMB
+	for name, adapters := range e.models {
+		m, ok := e.service.Engine.Model(name)
+		if !ok {
+			return false
+		}
+		used += m.WeightsMB + m.AdapterMB*float64(len(adapters))
+	}
+	return used <= e.service.Engine.WeightsMB
+}
+
+func (e *execution) loadTime(model catalog.Model) time.Duration {
+	switch {
+	case slices.Contains(e.runner.InMemory, model.Name) && model.HostLoadTime > 0:
+		return model.HostLoadTime
+	case slices.Contains(e.runner.OnDisk, model.Name) && model.DiskLoadTime > 0:
+		return model.DiskLoadTime
+	default:
+		return model.LoadTime
+	}
+}
+
+// await polls reports until the runner is done and what was ordered holds.
+func (e *execution) await(ctx context.Context, most time.Duration, holds func(map[string][]string) bool) bool {
+	until := e.steward.Clock.Now().Add(most)
+	for e.steward.Clock.Now().Before(until) {
+		state, err := e.report(ctx)
+		if err == nil && !state.Busy && state.Orders >= e.orders {
+			models := byModel(state.Models)
+			e.models, e.changed = models, true
+			if holds(models) {
+				return true
+			}
+			// The order was lost after all, or another one undid it.
+			if state.Orders > e.orders {
+				e.orders = state.Orders
+				return false
+			}
+		}
+		if !e.sleep(ctx, pollPause) {
+			return false
+		}
+	}
+	e.known = false
+	return false
+}
+
+func (e *execution) adapter(ctx context.Context, a layout.Adapter) bool {
+	adapters, held := e.models[a.Model]
+	if !held {
+		return true
+	}
+	has := slices.Contains(adapters, a.Name)
+	if a.Drop {
+		if !has {
+			return true
+		}
+		e.announce(a.Model, a.Name, false)
+		if !e.send(ctx, Order{Unload: true, Model: a.Model, Adapter: a.Name}) {
+			return false
+		}
+		e.setAdapters(a.Model, slices.DeleteFunc(slices.Clone(adapters), func(name string) bool { return name == a.Name }))
+		return true
+	}
+	if has || e.adapterCount() >= e.service.Engine.AdapterPlaces {
+		return true
+	}
+	if !e.send(ctx, Order{Model: a.Model, Adapter: a.Name}) {
+		return false
+	}
+	e.setAdapters(a.Model, append(slices.Clone(adapters), a.Name))
+	e.sleep(ctx, adapterTime)
+	e.announce(a.Model, a.Name, true)
+	return true
+}
+
+func (e *execution) setAdapters(model string, adapters []string) {
+	models := make(map[string][]string, len(e.models))
+	for name, list := range e.models {
+		models[name] = list
+	}
+	models[model] = adapters
+	e.models = models
+	e.changed = true
+}
+
+func (e *execution) adapterCount() int {
+	n := 0
+	for _, adapters := range e.models {
+		n += len(adapters)
+	}
+	return n
+}
+
+// send sends an order until it is answered, and reports whether it was accepted. Every try bears the same count of orders,
+// so the runner carries it out once at most.
+func (e *execution) send(ctx context.Context, o Order) bool {
+	for range orderTries {
+		fence, ok := e.steward.Lease.Fence()
+		if !ok || ctx.Err() != nil {
+			return false
+		}
+		o.Expect, o.Fence, o.Holder = e.orders, fence, e.steward.Holder
+		sending, cancel := context.WithTimeout(ctx, orderTimeout)
+		result, err := e.steward.Client.Order(sending, e.runner, o)
+		cancel()
+		e.steward.Metrics.ordered(result, err)
+		if err != nil {
+			e.lost(o, err)
+			var unsent *endpoint.UnsentError
+			if errors.As(err, &unsent) && !e.registered() {
+				return false
+			}
+			e.sleep(ctx, retryPause)
+			continue
+		}
+		switch result {
+		case Accepted, Holds:
+			return e.accepted(o, result)
+		case Conflict:
+			e.declined(o, result)
+			return e.resync(ctx, o)
+		case Fenced:
+			e.declined(o, result)
+			e.steward.Lease.Refused(fence)
+			return false
+		default:
+			e.declined(o, result)
+			e.known = false
+			return false
+		}
+	}
+	e.known = false
+	return false
+}
+
+// registered reports whether the runner is still known.
+func (e *execution) registered() bool {
+	r, ok := e.steward.Roster().Runner(e.runner.ID)
+	return ok && r.Born == e.runner.Born
+}
+
+func (e *execution) accepted(o Order, result Result) bool {
+	event.OrderAccepted.Log(e.steward.Logger, append(e.attrs(o), slog.String("Result", string(result)))...)
+	if result == Accepted || o.Unload {
+		e.orders++
+	} else {
+		e.known = false
+	}
+	return true
+}
+
+// resync reads the runner's state after a conflict; the step goes on only if the order turns out to be carried out.
+func (e *execution) resync(ctx context.Context, o Order) bool {
+	e.known = false
+	if !e.sleep(ctx, retryPause) || !e.sync(ctx) {
+		return false
+	}
+	adapters, held := e.models[o.Model]
+	if o.Adapter != "" {
+		held = slices.Contains(adapters, o.Adapter)
+	}
+	return held != o.Unload
+}
+
+func (e *execution) attrs(o Order) []slog.Attr {
+	return []slog.Attr{
+		slog.String("Runner", e.runner.ID),
+		slog.Bool("Unload", o.Unload),
+		slog.String("Model", o.Model),
+		slog.String("Adapter", o.Adapter),
+		slog.Uint64("Expect", o.Expect),
+		slog.Uint64("Fence", o.Fence),
+	}
+}
+
+func (e *execution) declined(o Order, result Result) {
+	event.OrderDeclined.Log(e.steward.Logger, append(e.attrs(o), slog.String("Result", string(result)))...)
+}
+
+func (e *execution) lost(o Order, err error) {
+	event.OrderLost.Log(e.steward.Logger, append(e.attrs(o), event.Error(err))...)
+}
+
+func (e *execution) announce(model, adapter string, held bool) {
+	event.OrderDone.Log(e.steward.Logger, slog.String("Runner", e.runner.ID), slog.String("Model", model),
+		slog.String("Adapter", adapter), slog.Bool("Held", held))
+	e.steward.Announce([]Holding{{
+		Runner:  e.runner.ID,
+		Model:   model,
+		Adapter: adapter,
+		Held:    held,
+	}})
+}
+
+func (e *execution) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-e.steward.Clock.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/orders/steward.go
@@ -0,0 +1,262 @@
+package orders
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/layout"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+const (
+	// planInterval is the pause between two plans when nothing calls for one earlier.
+	planInterval = 200 * time.Millisecond
+	// wakePause gathers what is missing before an early plan.
+	wakePause = 3 * time.Millisecond
+	// settleTime is for how long after a takeover only what is missing altogether is loaded, until demand is known.
+	settleTime = 1500 * time.Millisecond
+	// loadBurst is how many loads from the weight store may begin beyond its rate.
+	loadBurst = 2
+	// missingRate is the demand assumed for what was asked for and no runner has.
+	missingRate = 1
+)
+
+// Lease tells whether this VM may send orders.
+type Lease interface {
+	// Fence returns the fencing number, and false when no order may be sent.
+	Fence() (uint64, bool)
+	// Refused notes that a runner has seen a higher fencing number.
+	Refused(fence uint64)
+}
+
+// Dependencies is what a steward works with.
+type Dependencies struct {
+	// Holder is the name under which orders are sent.
+	Holder  string
+	Lease   Lease
+	Catalog func() *catalog.Catalog
+	Roster  func() *roster.View
+	Client  Client
+	// Announce tells every VM that a runner has, or no longer has, a model or adapter.
+	Announce func([]Holding)
+	Metrics  *Metrics
+	Clock    clockwork.Clock
+	Logger   *slog.Logger
+}
+
+// Holding is a fact about what a runner holds.
+type Holding struct {
+	Runner  string
+	Model   string
+	Adapter string
+	Held    bool
+}
+
+// Steward plans and orders while this VM holds the lease; it is safe for concurrent use.
+type Steward struct {
+	Dependencies
+	meter *Meter
+	wake  chan struct{}
+	steps sync.WaitGroup
+
+	mu    sync.Mutex
+	books map[string]*book
+	// fence is that of the tenure for which books were kept, since when it began.
+	fence uint64
+	since time.Time
+	// credit is how many loads from the weight store may begin now, by service.
+	credit   map[string]float64
+	credited time.Time
+	// storeLoads counts the loads from the weight store under way, by service.
+	storeLoads map[string]int
+}
+
+// New returns a steward.
+func New(d Dependencies) *Steward {
+	return &Steward{
+		Dependencies: d,
+		meter:        NewMeter(d.Clock.Now()),
+		wake:         make(chan struct{}, 1),
+		books:        make(map[string]*book),
+		credit:       make(map[string]float64),
+		credited:     d.Clock.Now(),
+		storeLoads:   make(map[string]int),
+	}
+}
+
+// Demand takes in what a VM counted.
+func (s *Steward) Demand(counts []Demand) { s.meter.Add(counts, s.Clock.Now()) }
+
+// Missing asks for a model or adapter that no runner has; the next plan comes at once.
+func (s *Steward) Missing(service, model, adapter string) {
+	s.meter.Add([]Demand{{
+		Service:  service,
+		Model:    model,
+		Adapter:  adapter,
+		Requests: missingRate,
+		Tokens:   missingRate,
+	}}, s.Clock.Now())
+	s.poke()
+}
+
+func (s *Steward) poke() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run plans until the context ends, and waits for the steps under way.
+func (s *Steward) Run(ctx context.Context) error {
+	defer s.steps.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.Clock.After(planInterval):
+		case <-s.wake:
+			s.Clock.Sleep(wakePause)
+		}
+		if fence, ok := s.Lease.Fence(); ok {
+			s.plan(ctx, fence)
+		}
+	}
+}
+
+func (s *Steward) plan(ctx context.Context, fence uint64) {
+	current := s.Catalog()
+	if current == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	if fence != s.fence {
+		s.begin(fence, now)
+	}
+	view := s.Roster()
+	s.forget(view)
+	passed := now.Sub(s.credited).Seconds()
+	s.credited = now
+	for name, service := range current.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		s.earn(name, service.Engine, passed)
+		s.planService(ctx, service, view, now)
+	}
+}
+
+// begin starts a tenure: what former tenures knew no longer counts, and no load is owed yet.
+func (s *Steward) begin(fence uint64, now time.Time) {
+	s.fence = fence
+	s.since = now
+	s.credit = make(map[string]float64)
+	for _, b := range s.books {
+		b.known = false
+	}
+}
+
+func (s *Steward) forget(view *roster.View) {
+	for id, b := range s.books {
+		if _, ok := view.Runner(id); !ok && !b.busy {
+			delete(s.books, id)
+		}
+	}
+}
+
+// earn lets the weight store's rate build up credit for loads.
+func (s *Steward) earn(service string, engine *catalog.Engine, seconds float64) {
+	s.credit[service] = min(s.credit[service]+engine.LoadsPerSecond*seconds, loadBurst)
+}
+
+// mayLoad returns how many loads from the weight store may begin now.
+func (s *Steward) mayLoad(service string, engine *catalog.Engine) int {
+	longest := 0.0
+	for _, m := range engine.Models {
+		longest = max(longest, m.LoadTime.Seconds())
+	}
+	atOnce := max(int(math.Ceil(engine.LoadsPerSecond*longest)), 1)
+	return min(int(s.credit[service]), atOnce-s.storeLoads[service])
+}
+
+func (s *Steward) planService(ctx context.Context, service catalog.Service, view *roster.View, now time.Time) {
+	var runners []*layout.Runner
+	byID := make(map[string]*layout.Runner)
+	for _, r := range view.Service(service.Name) {
+		b, ok := s.books[r.ID]
+		if !ok {
+			b = &book{}
+			s.books[r.ID] = b
+		}
+		b.follow(r, now)
+		runner := b.view()
+		runners = append(runners, runner)
+		byID[r.ID] = runner
+	}
+	demand := s.meter.Demand(service.Name, now)
+	if now.Sub(s.since) < settleTime {
+		demand.Work = nil
+	}
+	for _, step := range layout.Models(service.Engine, runners, demand, s.mayLoad(service.Name, service.Engine)) {
+		byID[step.Runner].Busy = true
+		s.start(ctx, service, step, demand)
+	}
+	for _, step := range layout.Adapters(service.Engine, runners, demand) {
+		s.start(ctx, service, step, demand)
+	}
+}
+
+// start carries a step out in a thread of its own; the caller holds the lock.
+func (s *Steward) start(ctx context.Context, service catalog.Service, step layout.Step, demand layout.Demand) {
+	b := s.books[step.Runner]
+	b.busy = true
+	b.loading = step.Load
+	if step.FromStore {
+		s.credit[service.Name]--
+		s.storeLoads[service.Name]++
+	}
+	if step.Load != "" {
+		event.LayoutChosen.Log(s.Logger, slog.String("Runner", step.Runner), slog.String("Load", step.Load),
+			slog.Any("Unload", step.Unload), slog.Bool("FromStore", step.FromStore), slog.Float64("Work", step.Work),
+			slog.Int("Replicas", step.Replicas), slog.Float64("Cost", step.Cost), slog.Any("Demand", demand.Work))
+	}
+	e := &execution{
+		steward: s,
+		book:    b,
+		runner:  b.runner,
+		step:    step,
+		service: service,
+		models:  b.models,
+		orders:  b.orders,
+		known:   b.known,
+	}
+	s.steps.Go(func() {
+		e.run(ctx)
+		s.finish(e)
+	})
+}
+
+// finish takes in what a step achieved.
+func (s *Steward) finish(e *execution) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.step.FromStore {
+		s.storeLoads[e.service.Name]--
+	}
+	b := e.book
+	b.busy = false
+	b.loading = ""
+	b.orders, b.known = e.orders, e.known
+	if e.changed {
+		b.settle(e.models, s.Clock.Now())
+	}
+	s.poke()
+}
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -39,7 +39,7 @@
 // Pool keeps connections to endpoints.
 type Pool struct {
 	clock  clockwork.Clock
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	mu     sync.Mutex
 	hosts  map[string]*host
@@ -54,23 +54,28 @@
 // NewPool returns an empty pool.
 func NewPool(clock clockwork.Clock) *Pool {
 	return &Pool{
-		clock: clock,
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable:   true,
-				Idle:     keepAlivePeriod,
-				Interval: keepAlivePeriod,
-				Count:    keepAliveProbes,
-			},
-			Control: SetUserTimeout(silentTimeout),
+		clock:  clock,
+		dialer: NewDialer(),
+		hosts:  make(map[string]*host),
+	}
+}
+
+// NewDialer returns a dialer whose connections end when the other side falls silent.
+func NewDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAlivePeriod,
+			Interval: keepAlivePeriod,
+			Count:    keepAliveProbes,
 		},
-		hosts: make(map[string]*host),
+		Control: setUserTimeout(silentTimeout),
 	}
 }
 
-// SetUserTimeout returns a dialer's control function that bounds how long sent bytes may stay unacknowledged.
-func SetUserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
+// setUserTimeout returns a dialer's control function that bounds how long sent bytes may stay unacknowledged.
+func setUserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
 		var setErr error
 		err := c.Control(func(fd uintptr) {
--- a/internal/peer/framesink.go
+++ b/internal/peer/framesink.go
@@ -3,13 +3,15 @@
 import (
 	"bytes"
 	"context"
+
+	"github.com/cowsliparch/cowsliparch/internal/framelink"
 )
 
 // frameSink sends an answer to the peer that asked for it.
 type frameSink struct {
 	ctx  context.Context
 	call uint64
-	conn *conn
+	conn *framelink.Link[frame]
 }
 
 // Event implements modelcall.Sink.
@@ -22,7 +24,7 @@
 func (s *frameSink) Done() error { return nil }
 
 func (s *frameSink) send(data []byte, final bool) error {
-	return s.conn.send(s.ctx, frame{
+	return s.conn.Send(s.ctx, frame{
 		Call: s.call,
 		Event: &eventBody{
 			Data:  bytes.Clone(data),
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -13,6 +13,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/configuration"
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/framelink"
 	"github.com/cowsliparch/cowsliparch/internal/modelcall"
 	"github.com/cowsliparch/cowsliparch/internal/vmlist"
 )
@@ -33,7 +34,7 @@
 	calls  atomic.Uint64
 
 	mu       sync.Mutex
-	conn     *conn
+	conn     *framelink.Link[frame]
 	alive    bool
 	stopping bool
 	answered time.Time
@@ -94,15 +95,15 @@
 	if err != nil {
 		return
 	}
-	ctx, c := newConn(ctx, socket, &l.node.bytes)
-	defer c.close()
+	ctx, c := framelink.New[frame](ctx, socket, &l.node.bytes)
+	defer c.Close()
 	l.mu.Lock()
 	l.conn = c
 	l.answered = l.clock.Now()
 	l.mu.Unlock()
 	go l.beat(ctx, c)
 	for {
-		f, err := c.read(ctx)
+		f, err := c.Read(ctx)
 		if err != nil {
 			l.lost(err)
 			return
@@ -112,8 +113,8 @@
 }
 
 // beat sends heartbeats and ends the connection when they go unanswered.
-func (l *Link) beat(ctx context.Context, c *conn) {
-	defer c.close()
+func (l *Link) beat(ctx context.Context, c *framelink.Link[frame]) {
+	defer c.Close()
 	name := l.node.name
 	for {
 		l.mu.Lock()
@@ -124,7 +125,7 @@
 		if silent {
 			return
 		}
-		err := c.send(ctx, frame{
+		err := c.Send(ctx, frame{
 			Beat: &beat{
 				Name:   name,
 				Demand: demand,
@@ -142,7 +143,7 @@
 	}
 }
 
-func (l *Link) handle(ctx context.Context, c *conn, f frame) {
+func (l *Link) handle(ctx context.Context, c *framelink.Link[frame], f frame) {
 	switch {
 	case f.Pulse != nil:
 		l.pulse(ctx, c, f.Pulse)
@@ -162,7 +163,7 @@
 	}
 }
 
-func (l *Link) pulse(ctx context.Context, c *conn, p *pulse) {
+func (l *Link) pulse(ctx context.Context, c *framelink.Link[frame], p *pulse) {
 	l.mu.Lock()
 	joined := !l.alive
 	l.alive = true
@@ -180,7 +181,7 @@
 		event.PeerJoined.Log(l.logger, slog.String("Peer", l.vm.Name))
 	}
 	if p.Through > l.node.tail.State().Through() {
-		_ = c.send(ctx, frame{Ask: &ask{}})
+		_ = c.Send(ctx, frame{Ask: &ask{}})
 	}
 }
 
@@ -242,9 +243,9 @@
 	}
 	l.mu.Unlock()
 	if c == nil {
-		return nil, &endpoint.UnsentError{Address: l.vm.Address, Cause: &ClosedError{}}
+		return nil, &endpoint.UnsentError{Address: l.vm.Address, Cause: &framelink.ClosedError{}}
 	}
-	if err := c.send(ctx, f); err != nil {
+	if err := c.Send(ctx, f); err != nil {
 		l.forget(f.Call)
 		return nil, &endpoint.UnsentError{Address: l.vm.Address, Cause: err}
 	}
@@ -268,11 +269,8 @@
 	if !open || c == nil {
 		return
 	}
-	select {
-	case c.out <- frame{Call: id, Cancel: &cancel{}}:
-	default:
-		// The link is full; the peer notices when the connection ends.
-	}
+	// On a full link the peer notices when the connection ends.
+	_ = c.TrySend(frame{Call: id, Cancel: &cancel{}})
 }
 
 // demand adds counts to the next beat.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/booking"
 	"github.com/cowsliparch/cowsliparch/internal/configuration"
+	"github.com/cowsliparch/cowsliparch/internal/framelink"
 	"github.com/cowsliparch/cowsliparch/internal/modelcall"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 )
@@ -62,8 +63,8 @@
 	if err != nil {
 		return
 	}
-	ctx, c := newConn(r.Context(), socket, &s.bytes)
-	defer c.close()
+	ctx, c := framelink.New[frame](r.Context(), socket, &s.bytes)
+	defer c.Close()
 	l := &session{
 		server: s,
 		conn:   c,
@@ -71,9 +72,9 @@
 		calls:  make(map[uint64]context.CancelFunc),
 	}
 	defer l.calling.Wait()
-	defer c.cancel()
+	defer c.Close()
 	for {
-		f, err := c.read(ctx)
+		f, err := c.Read(ctx)
 		if err != nil {
 			return
 		}
@@ -86,7 +87,7 @@
 // session is the server's side of one link.
 type session struct {
 	server  *Server
-	conn    *conn
+	conn    *framelink.Link[frame]
 	name    string
 	sent    map[string]int8
 	beaten  bool
@@ -103,13 +104,13 @@
 			l.name = f.Beat.Name
 		}
 		l.server.local.Demand(l.name, f.Beat.Demand)
-		return l.conn.send(ctx, frame{
+		return l.conn.Send(ctx, frame{
 			Call:  f.Call,
 			Pulse: l.pulse(),
 		})
 	case f.Ask != nil:
 		snapshot := l.server.local.State().Body()
-		return l.conn.send(ctx, frame{
+		return l.conn.Send(ctx, frame{
 			Call:     f.Call,
 			Snapshot: &snapshot,
 		})
@@ -165,7 +166,7 @@
 	l.calling.Go(func() {
 		defer l.stop(f.Call)
 		refused := l.serve(ctx, f)
-		_ = l.conn.send(ctx, frame{
+		_ = l.conn.Send(ctx, frame{
 			Call: f.Call,
 			End: &end{
 				Refused: refused,
@@ -182,7 +183,7 @@
 	l.calling.Go(func() {
 		defer l.stop(f.Call)
 		told := answerDesk(ctx, l.server.local.Desk(), *f.Desk)
-		_ = l.conn.send(ctx, frame{
+		_ = l.conn.Send(ctx, frame{
 			Call: f.Call,
 			Told: &told,
 		})
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -256,3 +256,15 @@
 	b.failures = 0
 	b.pause = firstPause
 }
+
+// TakeRunners takes in the registrations that another VM knows, while the store can't be read here.
+func (w *Watcher) TakeRunners(runners []roster.Runner) {
+	if !w.Out() {
+		return
+	}
+	listed := make([]*roster.Runner, 0, len(runners))
+	for i := range runners {
+		listed = append(listed, &runners[i])
+	}
+	w.logUpdates(w.roster.Adopt(listed, w.clock.Now()))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -152,3 +152,25 @@
 }
 
 func (r *Roster) publish() { r.view.Store(newView(r.runners)) }
+
+// Adopt takes in what another VM knows while this one can't read the store: newer registrations count, and a runner that
+// the other lacks is removed at once, as the other one has read its removal.
+func (r *Roster) Adopt(runners []*Runner, now time.Time) []Update {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[string]bool, len(runners))
+	var updates []Update
+	for _, runner := range runners {
+		listed[runner.ID] = true
+		if update, ok := r.apply(Change{ID: runner.ID, Runner: runner}, now); ok {
+			updates = append(updates, update)
+		}
+	}
+	for id := range r.View().byID {
+		if _, known := r.runners[id]; known && !listed[id] {
+			updates = append(updates, r.remove(id))
+		}
+	}
+	r.publish()
+	return updates
+}
--- a/internal/serving/dependencies.go
+++ b/internal/serving/dependencies.go
@@ -6,7 +6,10 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cowsliparch/cowsliparch/internal/boottime"
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
 	"github.com/cowsliparch/cowsliparch/internal/registry"
 	"github.com/cowsliparch/cowsliparch/internal/settings"
@@ -18,7 +21,9 @@
 	// Reload reads the settings file again.
 	Reload func() (settings.Serving, error)
 	Source registry.Source
+	Log    logservice.Conditional
 	Sender dispatch.Sender
+	Orders orders.Client
 	Pool   *outbound.Pool
 	// Ingress makes the handler of callers' requests.
 	Ingress func(*Server) http.Handler
@@ -27,5 +32,6 @@
 	// LinesDropped returns how many log lines were dropped.
 	LinesDropped func() uint64
 	Clock        clockwork.Clock
+	Boot         boottime.Clock
 	Logger       *slog.Logger
 }
--- a/internal/serving/http.go
+++ b/internal/serving/http.go
@@ -1,13 +1,17 @@
 package serving
 
 import (
+	"context"
 	"log"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cowsliparch/cowsliparch/internal/mesh"
 )
 
 const (
@@ -40,6 +44,18 @@
 	}
 }
 
+func (s *Server) peerServer(ctx context.Context) *http.Server {
+	r := chi.NewRouter()
+	r.Handle(mesh.Path, s.host)
+	return &http.Server{
+		Handler:           r,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          quiet(s),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+}
+
 func (s *Server) metricsServer() *http.Server {
 	r := chi.NewRouter()
 	r.Handle("/metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
@@ -76,5 +92,14 @@
 	gauge("cowsliparch_connections_opened", "Connections opened to runners and to the store.", func() float64 {
 		return float64(s.Pool.Opened())
 	})
+	gauge("cowsliparch_link_bytes", "Bytes exchanged with other entry VMs.", func() float64 {
+		return float64(s.host.Bytes() + s.spoke.Bytes())
+	})
+	gauge("cowsliparch_order_lease", "1 while this VM holds the lease for orders.", func() float64 {
+		if s.Holds() {
+			return 1
+		}
+		return 0
+	})
 	gauge("cowsliparch_log_lines_dropped", "Log lines dropped.", func() float64 { return float64(s.LinesDropped()) })
 }
--- /dev/null
+++ b/internal/serving/local.go
@@ -0,0 +1,99 @@
+package serving
+
+import (
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+// learnedFor is for how long the holder's word goes before a runner's registration, which lags by about two seconds.
+const learnedFor = 3 * time.Second
+
+// Holds implements mesh.Local.
+func (s *Server) Holds() bool {
+	_, ok := s.tenure.Fence()
+	return ok
+}
+
+// HolderAddress implements mesh.Local.
+func (s *Server) HolderAddress() (string, bool) {
+	claim, ok := s.tenure.Holder()
+	return claim.Address, ok && claim.Incarnation != s.incarnation
+}
+
+// HolderSpoke implements mesh.Local.
+func (s *Server) HolderSpoke() { s.tenure.Linked() }
+
+// Version implements mesh.Local.
+func (s *Server) Version() uint64 { return s.inForce.Version() }
+
+// Configuration implements mesh.Local.
+func (s *Server) Configuration() []byte {
+	if newest := s.watcher.Newest(); newest != nil {
+		return newest.Encoded
+	}
+	return nil
+}
+
+// Runners implements mesh.Local.
+func (s *Server) Runners() []roster.Runner {
+	all := s.roster.View().All()
+	out := make([]roster.Runner, 0, len(all))
+	for _, r := range all {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// StoreOut implements mesh.Local.
+func (s *Server) StoreOut() bool { return s.watcher.Out() }
+
+// TakeConfiguration implements mesh.Local.
+func (s *Server) TakeConfiguration(encoded []byte) {
+	if err := s.watcher.Adopt(encoded); err != nil {
+		event.RecordSkipped.Log(s.Logger, event.Error(err))
+	}
+}
+
+// TakeRunners implements mesh.Local.
+func (s *Server) TakeRunners(runners []roster.Runner) { s.watcher.TakeRunners(runners) }
+
+// Learn implements mesh.Local.
+func (s *Server) Learn(facts []orders.Holding) {
+	now := s.Clock.Now()
+	for _, f := range facts {
+		s.tracker.Learn(f.Runner, f.Model, f.Adapter, f.Held, now, learnedFor)
+	}
+}
+
+// CountDemand implements mesh.Local.
+func (s *Server) CountDemand() []orders.Demand { return s.counter.take() }
+
+// Demand implements mesh.Local.
+func (s *Server) Demand(counts []orders.Demand) { s.steward.Demand(counts) }
+
+// Missing implements mesh.Local.
+func (s *Server) Missing(service, model, adapter string) { s.steward.Missing(service, model, adapter) }
+
+// announce tells this VM and all others facts about runners.
+func (s *Server) announce(facts []orders.Holding) {
+	s.Learn(facts)
+	s.host.Announce(facts)
+}
+
+// wants forwards what callers ask for.
+type wants struct {
+	server *Server
+}
+
+// Asked implements dispatch.Wants.
+func (w *wants) Asked(service, model, adapter string, tokens int) {
+	w.server.counter.add(service, model, adapter, tokens)
+}
+
+// Missing implements dispatch.Wants.
+func (w *wants) Missing(service, model, adapter string) {
+	w.server.spoke.Missing(service, model, adapter)
+}
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
@@ -16,9 +17,12 @@
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/mesh"
+	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/registry"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 	"github.com/cowsliparch/cowsliparch/internal/settings"
+	"github.com/cowsliparch/cowsliparch/internal/tenure"
 )
 
 const (
@@ -27,6 +31,8 @@
 	drainDelay = 2600 * time.Millisecond
 	// stopMargin is how long before the process is ended from outside it ends by itself.
 	stopMargin = 350 * time.Millisecond
+	// releaseTimeout bounds the release of the lease, which delays the drain.
+	releaseTimeout = time.Second
 )
 
 // Server is the process of an entry VM.
@@ -39,10 +45,18 @@
 	tracker    *dispatch.Tracker
 	budget     *dispatch.Budget
 	dispatcher *dispatch.Dispatcher
+	counter    *counter
+	tenure     *tenure.Tenure
+	steward    *orders.Steward
+	host       *mesh.Host
+	spoke      *mesh.Spoke
 	stopping   atomic.Bool
+	// incarnation tells this run of the process from others of the VM.
+	incarnation string
 
 	callers net.Listener
 	ready   net.Listener
+	peers   net.Listener
 	metrics net.Listener
 }
 
@@ -57,7 +71,9 @@
 			FailureDomain: d.Settings.VM.FailureDomain,
 			Regions:       d.Settings.VM.Regions,
 		}),
-		budget: dispatch.NewBudget(budgetLimits(d.Settings), d.Clock.Now()),
+		budget:      dispatch.NewBudget(budgetLimits(d.Settings), d.Clock.Now()),
+		counter:     newCounter(),
+		incarnation: uuid.NewString(),
 	}
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.watcher = registry.New(d.Source, s.inForce, s.roster, d.Clock, d.Logger)
@@ -68,15 +84,46 @@
 		Tracker: s.tracker,
 		Budget:  s.budget,
 		Sender:  d.Sender,
-		Wants:   s,
+		Wants:   &wants{server: s},
 		Metrics: dispatch.NewMetrics(s.registry),
 		Clock:   d.Clock,
 		Logger:  d.Logger,
 	})
+	s.wireOrders()
 	s.registerGauges()
 	return s, s.listen()
 }
 
+// wireOrders makes what drives the runners while this VM holds the lease, and what links it to the holder otherwise.
+func (s *Server) wireOrders() {
+	vm := s.Settings.VM
+	self := mesh.Member{
+		Name:          vm.Name,
+		Address:       vm.PeerAddress,
+		FailureDomain: vm.FailureDomain,
+		Incarnation:   s.incarnation,
+	}
+	s.tenure = tenure.New(tenure.Options{
+		Name:        vm.Name,
+		Address:     vm.PeerAddress,
+		Incarnation: s.incarnation,
+		Term:        s.Settings.Control.LeaseTerm,
+	}, s.Log, s.Clock, s.Boot, s.Logger)
+	s.host = mesh.NewHost(self, s, s.Clock)
+	s.spoke = mesh.NewSpoke(self, s, s.Clock, s.Logger)
+	s.steward = orders.New(orders.Dependencies{
+		Holder:   vm.Name,
+		Lease:    s.tenure,
+		Catalog:  s.inForce.Current,
+		Roster:   s.roster.View,
+		Client:   s.Orders,
+		Announce: s.announce,
+		Metrics:  orders.NewMetrics(s.registry),
+		Clock:    s.Clock,
+		Logger:   s.Logger,
+	})
+}
+
 func budgetLimits(s settings.Serving) dispatch.BudgetLimits {
 	return dispatch.BudgetLimits{
 		Window: s.Limits.RetryWindow,
@@ -93,6 +140,7 @@
 	}{
 		{vm.CallerAddress, &s.callers},
 		{vm.ReadyAddress, &s.ready},
+		{vm.PeerAddress, &s.peers},
 		{vm.MetricsAddress, &s.metrics},
 	} {
 		listener, err := net.Listen("tcp", l.address)
@@ -131,9 +179,10 @@
 	for _, thread := range s.threads() {
 		threads.Go(func() error { return thread(control) })
 	}
-	callers, ready, metrics := s.callerServer(), s.readyServer(), s.metricsServer()
+	callers, ready, peers, metrics := s.callerServer(), s.readyServer(), s.peerServer(control), s.metricsServer()
 	threads.Go(func() error { return serve(callers, s.callers) })
 	threads.Go(func() error { return serve(ready, s.ready) })
+	threads.Go(func() error { return serve(peers, s.peers) })
 	threads.Go(func() error { return serve(metrics, s.metrics) })
 	event.EntryStarted.Log(s.Logger, slog.String("Callers", s.callers.Addr().String()))
 	select {
@@ -143,13 +192,22 @@
 	stopped := s.Clock.Now()
 	s.stopping.Store(true)
 	event.EntryStopping.Log(s.Logger)
+	s.release()
 	s.drain(callers, stopped)
 	stopControl()
 	_ = ready.Close()
+	_ = peers.Close()
 	_ = metrics.Close()
 	return threads.Wait()
 }
 
+// release gives the lease for orders up.
+func (s *Server) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	s.tenure.Release(ctx)
+}
+
 // drain takes connections a little longer, then lets every request in flight come to its end.
 func (s *Server) drain(callers *http.Server, stopped time.Time) {
 	s.Clock.Sleep(drainDelay)
--- a/internal/serving/threads.go
+++ b/internal/serving/threads.go
@@ -8,11 +8,17 @@
 // housekeepingInterval is the pause between two rounds of housekeeping.
 const housekeepingInterval = time.Second
 
+// fewestVMs is how many entry VMs are assumed while the holder of the lease is not known.
+const fewestVMs = 4
+
 // threads returns the control threads of the process.
 func (s *Server) threads() []func(context.Context) error {
 	return []func(context.Context) error{
 		s.watcher.RunConfiguration,
 		s.watcher.RunRunners,
+		s.tenure.Run,
+		s.steward.Run,
+		s.spoke.Run,
 		s.housekeep,
 	}
 }
@@ -30,11 +36,11 @@
 	}
 }
 
-// vms returns how many entry VMs are thought to share the limits.
-func (s *Server) vms() int { return 9 }
-
-// Asked implements dispatch.Wants.
-func (s *Server) Asked(_, _, _ string, _ int) {}
-
-// Missing implements dispatch.Wants.
-func (s *Server) Missing(_, _, _ string) {}
+// vms returns how many entry VMs share the limits, as far as the holder of the lease knows.
+func (s *Server) vms() int {
+	members := s.spoke.Members()
+	if s.Holds() {
+		members = s.host.Members()
+	}
+	return max(len(members), fewestVMs)
+}
--- a/pkg/cmd/serve/serve.go
+++ b/pkg/cmd/serve/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cowsliparch/cowsliparch/internal/boottime"
 	"github.com/cowsliparch/cowsliparch/internal/logring"
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
 	"github.com/cowsliparch/cowsliparch/internal/serving"
@@ -87,15 +88,19 @@
 	clock := opts.Clock()
 	pool := outbound.NewPool(clock)
 	runners := platform.NewRunners(pool)
+	store := platform.NewStore(s.Platform.Store, pool)
 	return serving.New(serving.Dependencies{
 		Settings:     s,
 		Reload:       func() (settings.Serving, error) { return opts.Settings(opts.Path) },
-		Source:       platform.NewStore(s.Platform.Store, pool),
+		Source:       store,
+		Log:          store,
 		Sender:       runners,
+		Orders:       runners,
 		Pool:         pool,
 		ReadyPath:    platform.ReadinessPath,
 		LinesDropped: ring.Dropped,
 		Clock:        clock,
+		Boot:         boottime.System{},
 		Logger:       logger,
 		Ingress: func(server *serving.Server) http.Handler {
 			return &platform.Ingress{
