--- a/internal/serving/dependencies.go
+++ b/internal/serving/dependencies.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/http"
+	"os"
 
 	"github.com/jonboulle/clockwork"
 
@@ -20,11 +21,13 @@
 	Settings settings.Serving
 	// Reload reads the settings file again.
 	Reload func() (settings.Serving, error)
-	Source registry.Source
-	Log    logservice.Conditional
-	Sender dispatch.Sender
-	Orders orders.Client
-	Pool   *outbound.Pool
+	// Hangups asks for a reload.
+	Hangups <-chan os.Signal
+	Source  registry.Source
+	Log     logservice.Conditional
+	Sender  dispatch.Sender
+	Orders  orders.Client
+	Pool    *outbound.Pool
 	// Ingress makes the handler of callers' requests.
 	Ingress func(*Server) http.Handler
 	// ReadyPath is where the balancer asks for readiness.
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -51,6 +51,8 @@
 	host       *mesh.Host
 	spoke      *mesh.Spoke
 	stopping   atomic.Bool
+	// settings is the newest usable settings; Settings is what the process started with.
+	settings atomic.Pointer[settings.Serving]
 	// incarnation tells this run of the process from others of the VM.
 	incarnation string
 
@@ -75,6 +77,7 @@
 		counter:     newCounter(),
 		incarnation: uuid.NewString(),
 	}
+	s.settings.Store(&d.Settings)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.watcher = registry.New(d.Source, s.inForce, s.roster, d.Clock, d.Logger)
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
@@ -211,7 +214,7 @@
 // drain takes connections a little longer, then lets every request in flight come to its end.
 func (s *Server) drain(callers *http.Server, stopped time.Time) {
 	s.Clock.Sleep(drainDelay)
-	end := stopped.Add(s.Settings.Limits.StopTimeout - stopMargin)
+	end := stopped.Add(s.current().Limits.StopTimeout - stopMargin)
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(s.Clock.Now()))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
--- a/internal/serving/threads.go
+++ b/internal/serving/threads.go
@@ -20,6 +20,7 @@
 		s.steward.Run,
 		s.spoke.Run,
 		s.housekeep,
+		s.watchSettings,
 	}
 }
 
@@ -32,7 +33,7 @@
 		case <-s.Clock.After(housekeepingInterval):
 		}
 		s.Pool.Prune()
-		s.budget.Share(budgetLimits(s.Settings), s.vms())
+		s.budget.Share(budgetLimits(s.current()), s.vms())
 	}
 }
 
--- a/pkg/cmd/serve/serve.go
+++ b/pkg/cmd/serve/serve.go
@@ -7,6 +7,9 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/jonboulle/clockwork"
 
@@ -76,7 +79,10 @@
 	logger := slog.New(slog.NewJSONHandler(ring, &slog.HandlerOptions{
 		Level: s.Log.Level,
 	})).With("VM", s.VM.Name)
-	server, err := newServer(s, opts, ring, logger)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	server, err := newServer(s, opts, ring, hangups, logger)
 	if err != nil {
 		return err
 	}
@@ -84,7 +90,7 @@
 }
 
 // newServer wires the platform's adapter to the product.
-func newServer(s settings.Serving, opts *Options, ring *logring.Ring, logger *slog.Logger) (*serving.Server, error) {
+func newServer(s settings.Serving, opts *Options, ring *logring.Ring, hangups <-chan os.Signal, logger *slog.Logger) (*serving.Server, error) {
 	clock := opts.Clock()
 	pool := outbound.NewPool(clock)
 	runners := platform.NewRunners(pool)
@@ -92,6 +98,7 @@
 	return serving.New(serving.Dependencies{
 		Settings:     s,
 		Reload:       func() (settings.Serving, error) { return opts.Settings(opts.Path) },
+		Hangups:      hangups,
 		Source:       store,
 		Log:          store,
 		Sender:       runners,
