Take no model for missing before the list of runners is whole

Cause: at start the holder saw runners register one by one, took the models of those not yet seen for missing and unloaded busy ones for them.

--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -43,6 +43,8 @@
 	Lease   Lease
 	Catalog func() *catalog.Catalog
 	Roster  func() *roster.View
+	// Settled reports whether the roster is whole; until then no model counts as missing.
+	Settled func() bool
 	Client  Client
 	// Announce tells every VM that a runner has, or no longer has, a model or adapter.
 	Announce func([]Holding)
@@ -205,6 +207,9 @@
 	if now.Sub(s.since) < settleTime {
 		demand.Work = nil
 	}
+	if !s.Settled() {
+		return
+	}
 	for _, step := range layout.Models(service.Engine, runners, demand, s.mayLoad(service.Name, service.Engine)) {
 		byID[step.Runner].Busy = true
 		s.start(ctx, service, step, demand)
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -24,6 +24,9 @@
 	// firstPause and lastPause bound the pause after a failed read, which doubles.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
+	// settleTime is how long after the last new runner the list of a starting system counts as whole; each runner registers
+	// about every second, and all start at once.
+	settleTime = 2500 * time.Millisecond
 	// outageAfter is how many reads in a row must fail before the store counts as out.
 	outageAfter = 2
 )
@@ -40,6 +43,9 @@
 	// runnersRead is set once the registrations were read.
 	runnersRead atomic.Bool
 	out         atomic.Bool
+	// settled is set once no new runner was seen for settleTime; newest is when the last one was.
+	settled atomic.Bool
+	newest  time.Time
 }
 
 // Versioned is a configuration in the store's own form.
@@ -62,6 +68,9 @@
 // Ready reports whether a configuration and the registrations were read.
 func (w *Watcher) Ready() bool { return w.inForce.Current() != nil && w.runnersRead.Load() }
 
+// Settled reports whether the list of runners is whole, so that what it lacks can be taken for missing.
+func (w *Watcher) Settled() bool { return w.settled.Load() }
+
 // Out reports whether the store does not answer reads of the registrations now.
 func (w *Watcher) Out() bool { return w.out.Load() }
 
@@ -183,6 +192,19 @@
 	}
 	w.logUpdates(append(updates, w.roster.Expire(now)...))
 	w.runnersRead.Store(true)
+	w.settle(updates, now)
+}
+
+// settle notes when the list of runners no longer grows for the first time.
+func (w *Watcher) settle(updates []roster.Update, now time.Time) {
+	for _, u := range updates {
+		if u.Before == nil {
+			w.newest = now
+		}
+	}
+	if !w.newest.IsZero() && now.Sub(w.newest) >= settleTime {
+		w.settled.Store(true)
+	}
 }
 
 func registered(changes []roster.Change) []*roster.Runner {
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -119,6 +119,7 @@
 		Lease:    s.tenure,
 		Catalog:  s.inForce.Current,
 		Roster:   s.roster.View,
+		Settled:  s.watcher.Settled,
 		Client:   s.Orders,
 		Announce: s.announce,
 		Metrics:  orders.NewMetrics(s.registry),
