Tell rates instead of counts, resign over links, forward registrations from the holder

Cause: a holder cut from the store kept the others waiting for its whole term and more, since they first saw its renewals when they began to read; a new holder knew no demand for 1.5 s; each VM read the registrations 1.4 times a second.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -123,6 +123,8 @@
 	c.d.Tracker.faulted(pick.runner, serverFault, c.d.Clock.Now())
 	if serverFault && c.route.Idempotent() && (c.begun || c.hasAlternative()) && c.mayTryAgain() {
 		c.sendFailed(pick, &DeclinedError{Status: answer.Status})
+		// Read to its end, the answer leaves its connection fit for the next request.
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxWholeBytes))
 		return true, nil
 	}
 	if c.begun {
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -8,7 +8,7 @@
 
 const (
 	// leastGain is the part of the whole demand that one more replica must take off the others.
-	leastGain = 0.015
+	leastGain = 0.025
 	// hysteresis is by how much a replica's gain must exceed the loss of those that make room for it.
 	hysteresis = 1.6
 	// lastReplica is the value of a model's only replica, beyond any gain.
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -15,15 +16,17 @@
 
 // frame is one message on a link; one field is set.
 type frame struct {
-	Hello   *Member         `cbor:",omitempty"`
-	Demand  []orders.Demand `cbor:",omitempty"`
-	Missing *missing        `cbor:",omitempty"`
-	Ask     *ask            `cbor:",omitempty"`
-	Pulse   *pulse          `cbor:",omitempty"`
-	Holding []holding       `cbor:",omitempty"`
+	Hello   *Member       `cbor:",omitempty"`
+	Demand  []orders.Rate `cbor:",omitempty"`
+	Missing *missing      `cbor:",omitempty"`
+	Ask     *ask          `cbor:",omitempty"`
+	Pulse   *pulse        `cbor:",omitempty"`
+	Holding []holding     `cbor:",omitempty"`
 	// Configuration is in the store's own form.
 	Configuration []byte          `cbor:",omitempty"`
 	Runners       []roster.Runner `cbor:",omitempty"`
+	// Changes is what the holder read of single registrations.
+	Changes []roster.Change `cbor:",omitempty"`
 }
 
 type holding = orders.Holding
@@ -49,4 +52,8 @@
 	Version uint64
 	// Members lists the VMs linked to the holder, itself included.
 	Members []Member
+	// Lease is how far the sender has read the stream of the lease.
+	Lease logservice.Offset
+	// Resigned is the fencing number of a tenure that the sender gave up without being able to record it.
+	Resigned uint64 `cbor:",omitempty"`
 }
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -12,6 +12,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/framelink"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
 const (
@@ -19,6 +20,8 @@
 	Path = "/link"
 	// pulseInterval is the pause between two pulses on a link.
 	pulseInterval = 500 * time.Millisecond
+	// linkSilence is after how long without a frame a link that another VM opened is given up.
+	linkSilence = 2 * time.Second
 )
 
 // Host is the side of links that other VMs opened.
@@ -35,8 +38,9 @@
 // session is one link that another VM opened.
 type session struct {
 	link *framelink.Link[frame]
-	// member is set by the first frame; the host's lock guards it.
+	// member is set by the first frame, heard is when the last one came; the host's lock guards them.
 	member *Member
+	heard  time.Time
 }
 
 // NewHost returns a host without links.
@@ -57,7 +61,10 @@
 	}
 	ctx, link := framelink.New[frame](r.Context(), socket, &h.bytes)
 	defer link.Close()
-	s := &session{link: link}
+	s := &session{
+		link:  link,
+		heard: h.clock.Now(),
+	}
 	h.mu.Lock()
 	h.sessions[s] = true
 	h.mu.Unlock()
@@ -78,7 +85,7 @@
 
 func (h *Host) beat(ctx context.Context, s *session) {
 	for {
-		if !s.link.TrySend(frame{Pulse: h.pulse()}) {
+		if h.silent(s) || !s.link.TrySend(frame{Pulse: h.pulse()}) {
 			s.link.Close()
 			return
 		}
@@ -90,15 +97,27 @@
 	}
 }
 
+func (h *Host) silent(s *session) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.clock.Since(s.heard) > linkSilence
+}
+
 func (h *Host) pulse() *pulse {
+	next, resigned := h.local.Lease()
 	return &pulse{
-		Holds:   h.local.Holds(),
-		Version: h.local.Version(),
-		Members: h.Members(),
+		Holds:    h.local.Holds(),
+		Version:  h.local.Version(),
+		Members:  h.Members(),
+		Lease:    next,
+		Resigned: resigned,
 	}
 }
 
 func (h *Host) handle(s *session, f frame) {
+	h.mu.Lock()
+	s.heard = h.clock.Now()
+	h.mu.Unlock()
 	switch {
 	case f.Hello != nil:
 		h.mu.Lock()
@@ -109,7 +128,16 @@
 	case f.Ask != nil:
 		h.answer(s, f.Ask)
 	case f.Demand != nil:
-		h.local.Demand(f.Demand)
+		h.demand(s, f.Demand)
+	}
+}
+
+func (h *Host) demand(s *session, rates []orders.Rate) {
+	h.mu.Lock()
+	member := s.member
+	h.mu.Unlock()
+	if member != nil {
+		h.local.Demand(member.Name, rates)
 	}
 }
 
@@ -123,11 +151,20 @@
 }
 
 // Announce tells every linked VM facts about runners.
-func (h *Host) Announce(facts []orders.Holding) {
+func (h *Host) Announce(facts []orders.Holding) { h.broadcast(frame{Holding: facts}) }
+
+// Forward tells every linked VM what was read of single registrations.
+func (h *Host) Forward(changes []roster.Change) { h.broadcast(frame{Changes: changes}) }
+
+// Pulse tells every linked VM at once what this one is.
+func (h *Host) Pulse() { h.broadcast(frame{Pulse: h.pulse()}) }
+
+// broadcast sends a frame on every link; one that is full misses it.
+func (h *Host) broadcast(f frame) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for s := range h.sessions {
-		_ = s.link.TrySend(frame{Holding: facts})
+		_ = s.link.TrySend(f)
 	}
 }
 
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -11,8 +12,12 @@
 	Holds() bool
 	// HolderAddress returns where the holder answers, and false when it is not known or this VM itself.
 	HolderAddress() (string, bool)
-	// HolderSpoke notes that the holder said that it holds the lease.
-	HolderSpoke()
+	// Lease returns how far the stream of the lease was read here, and the fencing number of a tenure given up here.
+	Lease() (next logservice.Offset, resigned uint64)
+	// HolderSpoke notes how far the holder, which holds the lease, has read its stream.
+	HolderSpoke(next logservice.Offset)
+	// HolderResigned notes that the holder gave a tenure up.
+	HolderResigned(fence uint64)
 	// Version returns the configuration in force here.
 	Version() uint64
 	// Configuration returns the newest configuration in the store's own form, or nil.
@@ -24,11 +29,13 @@
 	// TakeConfiguration and TakeRunners take in what another VM knows.
 	TakeConfiguration(encoded []byte)
 	TakeRunners(runners []roster.Runner)
+	// TakeChanges takes in what the holder read of single registrations.
+	TakeChanges(changes []roster.Change)
 	// Learn takes in facts about runners.
 	Learn(facts []orders.Holding)
-	// CountDemand returns what was asked for here since the last call.
-	CountDemand() []orders.Demand
-	// Demand and Missing take in what another VM, or this one, was asked for.
-	Demand(counts []orders.Demand)
+	// Rates returns what is asked for here.
+	Rates() []orders.Rate
+	// Demand and Missing take in what a VM was asked for.
+	Demand(vm string, rates []orders.Rate)
 	Missing(service, model, adapter string)
 }
--- a/internal/mesh/spoke.go
+++ b/internal/mesh/spoke.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// reportInterval is the pause between two counts of demand sent up.
-	reportInterval = 500 * time.Millisecond
+	// reportInterval is the pause between two accounts of demand sent up.
+	reportInterval = 400 * time.Millisecond
 	// dialPause is the pause before a link is tried again.
 	dialPause = 200 * time.Millisecond
 	// silence is after how long without a pulse a link is given up.
@@ -91,7 +91,7 @@
 func (s *Spoke) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if s.local.Holds() {
-			s.local.Demand(s.local.CountDemand())
+			s.local.Demand(s.self.Name, s.local.Rates())
 			s.sleep(ctx, reportInterval)
 			continue
 		}
@@ -157,7 +157,8 @@
 		if s.useless(address) {
 			return
 		}
-		if counts := s.local.CountDemand(); len(counts) > 0 && !link.TrySend(frame{Demand: counts}) {
+		// An empty frame still tells the other side that the link is alive.
+		if !link.TrySend(frame{Demand: s.local.Rates()}) {
 			return
 		}
 		if s.local.StoreOut() {
@@ -191,10 +192,15 @@
 		s.local.TakeConfiguration(f.Configuration)
 	case f.Runners != nil:
 		s.local.TakeRunners(f.Runners)
+	case f.Changes != nil:
+		s.local.TakeChanges(f.Changes)
 	}
 }
 
 func (s *Spoke) pulse(link *framelink.Link[frame], p *pulse) {
+	if p.Resigned > 0 {
+		s.local.HolderResigned(p.Resigned)
+	}
 	if !p.Holds {
 		if _, known := s.local.HolderAddress(); known {
 			// A VM that no longer holds the lease is of use only while nobody is known to.
@@ -208,7 +214,7 @@
 	}
 	s.mu.Unlock()
 	if p.Holds {
-		s.local.HolderSpoke()
+		s.local.HolderSpoke(p.Lease)
 	}
 	if p.Version > s.local.Version() {
 		_ = link.TrySend(frame{Ask: &ask{Version: s.local.Version()}})
--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -27,6 +27,8 @@
 	pollPause = 150 * time.Millisecond
 	// patience is how long an unload may take, which waits for its runs to end, and by how much a load may exceed its time.
 	patience = 10 * time.Second
+	// loadSlack is what a load takes beyond its stated time while the weight store keeps up.
+	loadSlack = 30 * time.Millisecond
 	// adapterTime is how long an adapter is on its way, at most, while the weight store keeps up.
 	adapterTime = 12 * time.Millisecond
 )
@@ -114,13 +116,16 @@
 	if !e.send(ctx, Order{Model: model.Name}) {
 		return false
 	}
-	e.sleep(ctx, e.loadTime(model))
+	// The report that confirms the load lags; a request that comes too early is declined and goes elsewhere.
+	if e.sleep(ctx, e.loadTime(model)+loadSlack) {
+		e.announce(model.Name, "", true)
+	}
 	done := e.await(ctx, patience, func(models map[string][]string) bool {
 		_, held := models[model.Name]
 		return held
 	})
-	if done {
-		e.announce(model.Name, "", true)
+	if !done {
+		e.announce(model.Name, "", false)
 	}
 	return done
 }
--- a/internal/orders/meter.go
+++ b/internal/orders/meter.go
@@ -4,24 +4,22 @@
 	"math"
 	"sync"
 	"time"
-
-	"github.com/cowsliparch/cowsliparch/internal/layout"
 )
 
 const (
 	// meterMemory is the time constant of the moving rates.
-	meterMemory = 1500 * time.Millisecond
+	meterMemory = time.Second
 	// forgotten is the rate below which an entry is dropped.
 	forgotten = 0.01
 )
 
-// Demand is requests counted by a VM for a model and adapter.
-type Demand struct {
+// Rate is what is asked of a model and adapter each second.
+type Rate struct {
 	Service  string
 	Model    string
 	Adapter  string
-	Requests int
-	Tokens   int
+	Requests float64
+	Tokens   float64
 }
 
 type meterKey struct {
@@ -35,7 +33,7 @@
 	requests float64
 }
 
-// Meter keeps moving rates of demand over all VMs; it is safe for concurrent use.
+// Meter keeps moving rates of what one VM is asked for; it is safe for concurrent use.
 type Meter struct {
 	mu    sync.Mutex
 	rates map[meterKey]rate
@@ -50,23 +48,21 @@
 	}
 }
 
-// Add takes in counts of a VM.
-func (m *Meter) Add(counts []Demand, now time.Time) {
+// Add counts one request.
+func (m *Meter) Add(service, model, adapter string, tokens int, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.decay(now)
 	perSecond := 1 / meterMemory.Seconds()
-	for _, c := range counts {
-		k := meterKey{
-			service: c.Service,
-			model:   c.Model,
-			adapter: c.Adapter,
-		}
-		r := m.rates[k]
-		r.tokens += float64(c.Tokens) * perSecond
-		r.requests += float64(c.Requests) * perSecond
-		m.rates[k] = r
+	k := meterKey{
+		service: service,
+		model:   model,
+		adapter: adapter,
 	}
+	r := m.rates[k]
+	r.tokens += float64(tokens) * perSecond
+	r.requests += perSecond
+	m.rates[k] = r
 }
 
 // decay lets past demand count less; the caller holds the lock.
@@ -88,27 +84,20 @@
 	}
 }
 
-// Demand returns the demand for a service now.
-func (m *Meter) Demand(service string, now time.Time) layout.Demand {
+// Rates returns what is asked now.
+func (m *Meter) Rates(now time.Time) []Rate {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.decay(now)
-	d := layout.Demand{
-		Work:     make(map[string]float64),
-		Adapters: make(map[string]map[string]float64),
-	}
+	out := make([]Rate, 0, len(m.rates))
 	for k, r := range m.rates {
-		if k.service != service {
-			continue
-		}
-		d.Work[k.model] += r.tokens
-		if k.adapter == "" {
-			continue
-		}
-		if d.Adapters[k.model] == nil {
-			d.Adapters[k.model] = make(map[string]float64)
-		}
-		d.Adapters[k.model][k.adapter] += r.requests
+		out = append(out, Rate{
+			Service:  k.service,
+			Model:    k.model,
+			Adapter:  k.adapter,
+			Requests: r.requests,
+			Tokens:   r.tokens,
+		})
 	}
-	return d
+	return out
 }
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -24,8 +24,8 @@
 	settleTime = 1500 * time.Millisecond
 	// loadBurst is how many loads from the weight store may begin beyond its rate.
 	loadBurst = 2
-	// missingRate is the demand assumed for what was asked for and no runner has.
-	missingRate = 1
+	// missingTokens is the demand assumed for what was asked for and no runner has.
+	missingTokens = 1
 )
 
 // Lease tells whether this VM may send orders.
@@ -46,6 +46,8 @@
 	// Settled reports whether the roster is whole; until then no model counts as missing.
 	Settled func() bool
 	Client  Client
+	// VMs returns how many entry VMs there are.
+	VMs func() int
 	// Announce tells every VM that a runner has, or no longer has, a model or adapter.
 	Announce func([]Holding)
 	Metrics  *Metrics
@@ -64,9 +66,11 @@
 // Steward plans and orders while this VM holds the lease; it is safe for concurrent use.
 type Steward struct {
 	Dependencies
-	meter *Meter
-	wake  chan struct{}
-	steps sync.WaitGroup
+	// missing counts what was asked for and no runner has, ahead of the next rates.
+	missing *Meter
+	reports *reports
+	wake    chan struct{}
+	steps   sync.WaitGroup
 
 	mu    sync.Mutex
 	books map[string]*book
@@ -84,7 +88,8 @@
 func New(d Dependencies) *Steward {
 	return &Steward{
 		Dependencies: d,
-		meter:        NewMeter(d.Clock.Now()),
+		missing:      NewMeter(d.Clock.Now()),
+		reports:      newReports(),
 		wake:         make(chan struct{}, 1),
 		books:        make(map[string]*book),
 		credit:       make(map[string]float64),
@@ -93,18 +98,12 @@
 	}
 }
 
-// Demand takes in what a VM counted.
-func (s *Steward) Demand(counts []Demand) { s.meter.Add(counts, s.Clock.Now()) }
+// Demand takes in the rates that a VM tells.
+func (s *Steward) Demand(vm string, rates []Rate) { s.reports.take(vm, rates, s.Clock.Now()) }
 
 // Missing asks for a model or adapter that no runner has; the next plan comes at once.
 func (s *Steward) Missing(service, model, adapter string) {
-	s.meter.Add([]Demand{{
-		Service:  service,
-		Model:    model,
-		Adapter:  adapter,
-		Requests: missingRate,
-		Tokens:   missingRate,
-	}}, s.Clock.Now())
+	s.missing.Add(service, model, adapter, missingTokens, s.Clock.Now())
 	s.poke()
 }
 
@@ -203,10 +202,7 @@
 		runners = append(runners, runner)
 		byID[r.ID] = runner
 	}
-	demand := s.meter.Demand(service.Name, now)
-	if now.Sub(s.since) < settleTime {
-		demand.Work = nil
-	}
+	demand := s.demand(service.Name, now)
 	if !s.Settled() {
 		return
 	}
@@ -219,6 +215,20 @@
 	}
 }
 
+// demand sums up what the VMs tell; shortly after a takeover the work counts only once most of them spoke.
+func (s *Steward) demand(service string, now time.Time) layout.Demand {
+	demand, told := s.reports.demand(service, now)
+	for _, rate := range s.missing.Rates(now) {
+		if rate.Service == service {
+			add(demand, rate)
+		}
+	}
+	if now.Sub(s.since) < settleTime && told <= s.VMs()/2 {
+		demand.Work = nil
+	}
+	return demand
+}
+
 // start carries a step out in a thread of its own; the caller holds the lock.
 func (s *Steward) start(ctx context.Context, service catalog.Service, step layout.Step, demand layout.Demand) {
 	b := s.books[step.Runner]
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -21,6 +21,9 @@
 	configurationWait = 5 * time.Second
 	// runnersPause is the pause between two reads of the registrations; each runner registers anew about every second.
 	runnersPause = 700 * time.Millisecond
+	// linkedPause is the same while the holder of the lease tells what it reads; a runner that leaves must be known here
+	// within three seconds even if that word is lost.
+	linkedPause = 2 * time.Second
 	// firstPause and lastPause bound the pause after a failed read, which doubles.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -31,11 +34,20 @@
 	outageAfter = 2
 )
 
+// Peers is the other entry VMs, of which the holder of the lease for orders reads the registrations most often.
+type Peers interface {
+	// Linked reports whether the holder tells this VM what it reads.
+	Linked() bool
+	// Forward hands on what was read here, if this VM is the holder.
+	Forward(changes []roster.Change)
+}
+
 // Watcher follows the source and keeps the catalog in force and the roster.
 type Watcher struct {
 	source  Source
 	inForce *catalog.InForce
 	roster  *roster.Roster
+	peers   Peers
 	clock   clockwork.Clock
 	logger  *slog.Logger
 	// encoded is the newest configuration as it lies in the store.
@@ -55,11 +67,12 @@
 }
 
 // New returns a watcher; its threads are RunConfiguration and RunRunners.
-func New(source Source, inForce *catalog.InForce, r *roster.Roster, clock clockwork.Clock, logger *slog.Logger) *Watcher {
+func New(source Source, inForce *catalog.InForce, r *roster.Roster, peers Peers, clock clockwork.Clock, logger *slog.Logger) *Watcher {
 	return &Watcher{
 		source:  source,
 		inForce: inForce,
 		roster:  r,
+		peers:   peers,
 		clock:   clock,
 		logger:  logger,
 	}
@@ -165,11 +178,19 @@
 		w.logSkipped(read.Skipped)
 		w.take(read, known)
 		known, next = true, read.Next
-		w.sleep(ctx, runnersPause)
+		w.sleep(ctx, w.pause())
 	}
 	return nil
 }
 
+// pause returns the pause until the next read of the registrations.
+func (w *Watcher) pause() time.Duration {
+	if w.settled.Load() && w.peers.Linked() {
+		return linkedPause
+	}
+	return runnersPause
+}
+
 func (w *Watcher) outage(out bool) {
 	w.out.Store(out)
 	w.roster.Outage(out, w.clock.Now())
@@ -190,11 +211,33 @@
 	} else {
 		updates = w.roster.Replace(registered(read.Changes), now)
 	}
-	w.logUpdates(append(updates, w.roster.Expire(now)...))
+	updates = append(updates, w.roster.Expire(now)...)
+	w.logUpdates(updates)
+	w.forward(updates)
 	w.runnersRead.Store(true)
 	w.settle(updates, now)
 }
 
+// forward hands on what changed, if this VM reads for the others.
+func (w *Watcher) forward(updates []roster.Update) {
+	if len(updates) == 0 {
+		return
+	}
+	changes := make([]roster.Change, 0, len(updates))
+	for _, u := range updates {
+		changes = append(changes, roster.Change{
+			ID:     u.ID,
+			Runner: u.After,
+		})
+	}
+	w.peers.Forward(changes)
+}
+
+// TakeChanges takes in what the holder read of single registrations.
+func (w *Watcher) TakeChanges(changes []roster.Change) {
+	w.logUpdates(w.roster.Apply(changes, w.clock.Now()))
+}
+
 // settle notes when the list of runners no longer grows for the first time.
 func (w *Watcher) settle(updates []roster.Update, now time.Time) {
 	for _, u := range updates {
--- a/internal/serving/local.go
+++ b/internal/serving/local.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -23,8 +24,14 @@
 	return claim.Address, ok && claim.Incarnation != s.incarnation
 }
 
+// Lease implements mesh.Local.
+func (s *Server) Lease() (next logservice.Offset, resigned uint64) { return s.tenure.Position() }
+
 // HolderSpoke implements mesh.Local.
-func (s *Server) HolderSpoke() { s.tenure.Linked() }
+func (s *Server) HolderSpoke(next logservice.Offset) { s.tenure.Linked(next) }
+
+// HolderResigned implements mesh.Local.
+func (s *Server) HolderResigned(fence uint64) { s.tenure.Resigned(fence) }
 
 // Version implements mesh.Local.
 func (s *Server) Version() uint64 { return s.inForce.Version() }
@@ -68,11 +75,14 @@
 	}
 }
 
-// CountDemand implements mesh.Local.
-func (s *Server) CountDemand() []orders.Demand { return s.counter.take() }
+// TakeChanges implements mesh.Local.
+func (s *Server) TakeChanges(changes []roster.Change) { s.watcher.TakeChanges(changes) }
+
+// Rates implements mesh.Local.
+func (s *Server) Rates() []orders.Rate { return s.meter.Rates(s.Clock.Now()) }
 
 // Demand implements mesh.Local.
-func (s *Server) Demand(counts []orders.Demand) { s.steward.Demand(counts) }
+func (s *Server) Demand(vm string, rates []orders.Rate) { s.steward.Demand(vm, rates) }
 
 // Missing implements mesh.Local.
 func (s *Server) Missing(service, model, adapter string) { s.steward.Missing(service, model, adapter) }
@@ -83,6 +93,16 @@
 	s.host.Announce(facts)
 }
 
+// Forward implements registry.Peers: the holder tells all other VMs what it read, so that they need to read less often.
+func (s *Server) Forward(changes []roster.Change) {
+	if s.Holds() {
+		s.host.Forward(changes)
+	}
+}
+
+// Linked implements registry.Peers.
+func (s *Server) Linked() bool { return !s.Holds() && s.tenure.Heard() }
+
 // wants forwards what callers ask for.
 type wants struct {
 	server *Server
@@ -90,7 +110,7 @@
 
 // Asked implements dispatch.Wants.
 func (w *wants) Asked(service, model, adapter string, tokens int) {
-	w.server.counter.add(service, model, adapter, tokens)
+	w.server.meter.Add(service, model, adapter, tokens, w.server.Clock.Now())
 }
 
 // Missing implements dispatch.Wants.
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -45,7 +45,7 @@
 	tracker    *dispatch.Tracker
 	budget     *dispatch.Budget
 	dispatcher *dispatch.Dispatcher
-	counter    *counter
+	meter      *orders.Meter
 	tenure     *tenure.Tenure
 	steward    *orders.Steward
 	host       *mesh.Host
@@ -55,6 +55,9 @@
 	settings atomic.Pointer[settings.Serving]
 	// incarnation tells this run of the process from others of the VM.
 	incarnation string
+	// linkedOnce is set while this VM holds the lease and another one was linked; alone is since when none is any more.
+	linkedOnce bool
+	alone      time.Time
 
 	callers net.Listener
 	ready   net.Listener
@@ -74,12 +77,12 @@
 			Regions:       d.Settings.VM.Regions,
 		}),
 		budget:      dispatch.NewBudget(budgetLimits(d.Settings), d.Clock.Now()),
-		counter:     newCounter(),
+		meter:       orders.NewMeter(d.Clock.Now()),
 		incarnation: uuid.NewString(),
 	}
 	s.settings.Store(&d.Settings)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	s.watcher = registry.New(d.Source, s.inForce, s.roster, d.Clock, d.Logger)
+	s.watcher = registry.New(d.Source, s.inForce, s.roster, s, d.Clock, d.Logger)
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
 		Catalog: s.inForce.Current,
 		Roster:  s.roster.View,
@@ -111,6 +114,7 @@
 		Address:     vm.PeerAddress,
 		Incarnation: s.incarnation,
 		Term:        s.Settings.Control.LeaseTerm,
+		OnResign:    func() { s.host.Pulse() },
 	}, s.Log, s.Clock, s.Boot, s.Logger)
 	s.host = mesh.NewHost(self, s, s.Clock)
 	s.spoke = mesh.NewSpoke(self, s, s.Clock, s.Logger)
@@ -121,6 +125,7 @@
 		Roster:   s.roster.View,
 		Settled:  s.watcher.Settled,
 		Client:   s.Orders,
+		VMs:      s.vms,
 		Announce: s.announce,
 		Metrics:  orders.NewMetrics(s.registry),
 		Clock:    s.Clock,
--- a/internal/serving/threads.go
+++ b/internal/serving/threads.go
@@ -8,6 +8,13 @@
 // housekeepingInterval is the pause between two rounds of housekeeping.
 const housekeepingInterval = time.Second
 
+const (
+	// aloneTime is for how long a holder of the lease without links keeps it.
+	aloneTime = time.Second
+	// aloneRest is for how long it then leaves the lease to others.
+	aloneRest = 6 * time.Second
+)
+
 // fewestVMs is how many entry VMs are assumed while the holder of the lease is not known.
 const fewestVMs = 4
 
@@ -33,10 +40,28 @@
 		case <-s.Clock.After(housekeepingInterval):
 		}
 		s.Pool.Prune()
+		s.leaveIfAlone(ctx)
 		s.budget.Share(budgetLimits(s.current()), s.vms())
 	}
 }
 
+// leaveIfAlone gives the lease up when every link to this VM is gone: it may be cut off from the others, which see demand
+// that it does not.
+func (s *Server) leaveIfAlone(ctx context.Context) {
+	if !s.Holds() {
+		s.linkedOnce = false
+		return
+	}
+	now := s.Clock.Now()
+	if len(s.host.Members()) > 1 {
+		s.linkedOnce, s.alone = true, now
+		return
+	}
+	if s.linkedOnce && now.Sub(s.alone) >= aloneTime {
+		s.tenure.StepDown(ctx, aloneRest)
+	}
+}
+
 // vms returns how many entry VMs share the limits, as far as the holder of the lease knows.
 func (s *Server) vms() int {
 	members := s.spoke.Members()
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -27,6 +27,8 @@
 	watchPause = 150 * time.Millisecond
 	// readWait is how long a read waits for the next record.
 	readWait = 300 * time.Millisecond
+	// settleTimeout bounds one read after a lost renewal.
+	settleTimeout = 400 * time.Millisecond
 	// claimSpread keeps the claims of several VMs apart.
 	claimSpread = 200 * time.Millisecond
 )
@@ -37,6 +39,8 @@
 	Address     string
 	Incarnation string
 	Term        time.Duration
+	// OnResign is called when a tenure is given up without a record, so that other VMs learn of it at once.
+	OnResign func()
 }
 
 // Tenure follows the lease and claims it when it is free; it is safe for concurrent use.
@@ -50,6 +54,8 @@
 	mu   sync.Mutex
 	next logservice.Offset
 	last Claim
+	// lastFence is the fencing number of the newest tenure.
+	lastFence uint64
 	// seen is when the newest record was first seen here, in time since the VM started.
 	seen  time.Duration
 	known bool
@@ -61,7 +67,12 @@
 	pending uint64
 	sent    time.Duration
 	linked  time.Duration
-	stopped bool
+	// resigned is the fencing number of an own tenure given up without a record, given the highest that another VM gave up.
+	resigned uint64
+	given    uint64
+	stopped  bool
+	// rest is until when this VM leaves the lease to others.
+	rest time.Duration
 }
 
 // New returns a tenure; Run follows it.
@@ -93,11 +104,41 @@
 	return t.last, t.known && !t.last.Released
 }
 
-// Linked notes that the holder spoke over its link.
-func (t *Tenure) Linked() {
+// Linked notes that the holder spoke over its link, and how far it has read the stream: what it has read was renewed by
+// now at the latest, so its records need not be read here.
+func (t *Tenure) Linked(next logservice.Offset) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.linked = t.boot.Elapsed()
+	if next > t.next {
+		t.next = next
+		t.seen = t.linked
+	}
+}
+
+// Heard reports whether the holder spoke lately.
+func (t *Tenure) Heard() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.boot.Elapsed()-t.linked < linkFresh
+}
+
+// Position returns how far the stream was read, and the fencing number of a tenure that this VM gave up without a record.
+func (t *Tenure) Position() (next logservice.Offset, resigned uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next, t.resigned
+}
+
+// Resigned notes that the holder gave a tenure up and sends no more orders under its fencing number.
+func (t *Tenure) Resigned(fence uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if fence <= t.given {
+		return
+	}
+	t.given = fence
+	t.linked = -linkFresh
 }
 
 // Run follows the lease until the context ends.
@@ -112,10 +153,18 @@
 	return nil
 }
 
-// Release gives the lease up, so that another VM can claim it at once.
+// Release gives the lease up for good, so that another VM can claim it at once.
 func (t *Tenure) Release(ctx context.Context) {
 	t.mu.Lock()
 	t.stopped = true
+	t.mu.Unlock()
+	t.StepDown(ctx, 0)
+}
+
+// StepDown gives the lease up and leaves it to others for a time.
+func (t *Tenure) StepDown(ctx context.Context, rest time.Duration) {
+	t.mu.Lock()
+	t.rest = t.boot.Elapsed() + rest
 	fence := t.fence
 	t.fence = 0
 	t.mu.Unlock()
@@ -168,16 +217,37 @@
 	t.settle(ctx)
 }
 
-// settle reads the stream after an append of unknown fate, until it is known or the term is over.
+// settle reads the stream after an append of unknown fate, until it is known or too little of the term is left to hope for
+// another renewal.
 func (t *Tenure) settle(ctx context.Context) {
 	for ctx.Err() == nil && t.holds() {
-		if t.catchUp(ctx, 0) == nil {
+		reading, cancel := context.WithTimeout(ctx, settleTimeout)
+		err := t.catchUp(reading, 0)
+		cancel()
+		if err == nil {
+			return
+		}
+		if t.resign() {
+			t.options.OnResign()
 			return
 		}
 		t.sleep(ctx, watchPause)
 	}
 }
 
+// resign gives the tenure up when the store can't be reached and half of the term is over: another VM that reaches the
+// store learns of it over its link and need not wait for the rest.
+func (t *Tenure) resign() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fence == 0 || t.boot.Elapsed() < t.until-t.options.Term/2 {
+		return false
+	}
+	t.resigned = t.fence
+	t.lose("the store can't be reached")
+	return true
+}
+
 func (t *Tenure) extend(sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -209,12 +279,15 @@
 func (t *Tenure) free() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.fence != 0 || t.stopped {
+	if t.fence != 0 || t.stopped || t.boot.Elapsed() < t.rest {
 		return false
 	}
-	return !t.known || t.last.Released || t.boot.Elapsed()-t.seen > t.options.Term
+	return !t.known || t.last.Released || t.boot.Elapsed()-t.seen > t.options.Term || t.givenUp()
 }
 
+// givenUp reports whether the newest record is of a tenure that its holder said it gave up; the caller holds the lock.
+func (t *Tenure) givenUp() bool { return t.given > 0 && t.lastFence <= t.given }
+
 func (t *Tenure) claim(ctx context.Context) {
 	sent, err := t.append(ctx, 0, false)
 	if err != nil {
@@ -299,6 +372,10 @@
 	t.next = offset + 1
 	t.last = claim
 	t.known = true
+	t.lastFence = claim.Fence
+	if claim.Fence == 0 {
+		t.lastFence = fenceAt(offset)
+	}
 	t.seen = t.boot.Elapsed()
 	if claim.Incarnation != t.options.Incarnation {
 		if t.fence != 0 {
