Bound the wait for configurations, steady the rates of adapters, count adapter places as a reason for replicas

Ruled out: a lost record (it was read with the next call) and a link that was down (the VM held the lease itself).

--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -77,7 +77,18 @@
 	if n <= 1 {
 		return lastReplica
 	}
-	return p.demand.Work[model] / float64(n*(n-1))
+	return p.demand.Work[model]/float64(n*(n-1)) + p.adapterValue(model, n)
+}
+
+// adapterValue returns the work for adapters that only the last of n replicas has places for.
+func (p *plan) adapterValue(model string, n int) float64 {
+	share, asked := p.demand.adapterShare(model)
+	if asked == 0 {
+		return 0
+	}
+	places := p.engine.AdapterPlaces
+	added := min(n*places, asked) - min((n-1)*places, asked)
+	return p.demand.Work[model] * share * float64(added) / float64(asked)
 }
 
 // next returns the best step that is worth it.
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -42,6 +42,7 @@
 	defer r.mu.Unlock()
 	d := layout.Demand{
 		Work:     make(map[string]float64),
+		Requests: make(map[string]float64),
 		Adapters: make(map[string]map[string]float64),
 	}
 	for vm, told := range r.byVM {
@@ -59,8 +60,9 @@
 }
 
 func add(d layout.Demand, rate Rate) {
-	d.Work[rate.Model] += rate.Tokens
 	if rate.Adapter == "" {
+		d.Work[rate.Model] += rate.Tokens
+		d.Requests[rate.Model] += rate.Requests
 		return
 	}
 	if d.Adapters[rate.Model] == nil {
--- a/internal/orders/meter.go
+++ b/internal/orders/meter.go
@@ -7,13 +7,15 @@
 )
 
 const (
-	// meterMemory is the time constant of the moving rates.
-	meterMemory = time.Second
+	// workMemory is the time constant of the rates of models, which must show a shift of demand at once.
+	workMemory = time.Second
+	// adapterMemory is that of the rates of adapters, each of which is asked for about once a second.
+	adapterMemory = 6 * time.Second
 	// forgotten is the rate below which an entry is dropped.
 	forgotten = 0.01
 )
 
-// Rate is what is asked of a model and adapter each second.
+// Rate is what is asked of a model each second or, if it names one, of an adapter, which its model's rate includes.
 type Rate struct {
 	Service  string
 	Model    string
@@ -53,18 +55,36 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.decay(now)
-	perSecond := 1 / meterMemory.Seconds()
-	k := meterKey{
+	m.count(meterKey{
 		service: service,
 		model:   model,
-		adapter: adapter,
+	}, tokens)
+	if adapter != "" {
+		m.count(meterKey{
+			service: service,
+			model:   model,
+			adapter: adapter,
+		}, tokens)
 	}
+}
+
+// count adds to one rate; the caller holds the lock.
+func (m *Meter) count(k meterKey, tokens int) {
+	perSecond := 1 / k.memory().Seconds()
 	r := m.rates[k]
 	r.tokens += float64(tokens) * perSecond
 	r.requests += perSecond
 	m.rates[k] = r
 }
 
+// memory returns the time constant of a rate.
+func (k meterKey) memory() time.Duration {
+	if k.adapter != "" {
+		return adapterMemory
+	}
+	return workMemory
+}
+
 // decay lets past demand count less; the caller holds the lock.
 func (m *Meter) decay(now time.Time) {
 	passed := now.Sub(m.at)
@@ -72,8 +92,8 @@
 		return
 	}
 	m.at = now
-	left := math.Exp(-passed.Seconds() / meterMemory.Seconds())
 	for k, r := range m.rates {
+		left := math.Exp(-passed.Seconds() / k.memory().Seconds())
 		r.tokens *= left
 		r.requests *= left
 		if r.requests < forgotten {
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// configurationWait is how long one read waits for a change of the configuration.
-	configurationWait = 5 * time.Second
+	// configurationWait is how long one read waits for a change of the configuration. A change must be in force within three
+	// seconds also if the store fails to end the wait.
+	configurationWait = 1500 * time.Millisecond
+	// linkedWait is the same while the holder of the lease tells its version twice a second.
+	linkedWait = 8 * time.Second
 	// runnersPause is the pause between two reads of the registrations; each runner registers anew about every second.
 	runnersPause = 700 * time.Millisecond
 	// linkedPause is the same while the holder of the lease tells what it reads; a runner that leaves must be known here
@@ -122,7 +125,11 @@
 	if !known {
 		return w.source.Configuration(ctx)
 	}
-	return w.source.ConfigurationAfter(ctx, next, configurationWait)
+	wait := configurationWait
+	if w.peers.Linked() {
+		wait = linkedWait
+	}
+	return w.source.ConfigurationAfter(ctx, next, wait)
 }
 
 // pauseWithout keeps reads apart while there is no configuration at all.
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -369,6 +369,7 @@
 
 // take makes a record the newest one; the caller holds the lock.
 func (t *Tenure) take(offset logservice.Offset, claim Claim) {
+	changed := claim.Incarnation != t.last.Incarnation || claim.Released
 	t.next = offset + 1
 	t.last = claim
 	t.known = true
@@ -381,8 +382,10 @@
 		if t.fence != 0 {
 			t.lose("another VM claimed it")
 		}
-		event.LeaseSeen.Log(t.logger, slog.String("Holder", claim.Holder), slog.Uint64("Offset", uint64(offset)),
-			slog.Bool("Released", claim.Released))
+		if changed {
+			event.LeaseSeen.Log(t.logger, slog.String("Holder", claim.Holder), slog.Uint64("Offset", uint64(offset)),
+				slog.Bool("Released", claim.Released))
+		}
 		return
 	}
 	if claim.Sequence != t.pending || claim.Released || t.stopped || t.seen >= t.sent+t.options.Term {
