Judge silence by everything a runner sends, use avoided runners as a last resort, claim at once after an own restart

Cause: under a burst, requests that waited long were taken from busy runners as if these were dead, which read their prompts again elsewhere; 414 refusals had one holder that was merely avoided.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -35,14 +35,15 @@
 	sent := c.d.Clock.Now()
 	c.d.Tracker.sent(pick.runner, sent)
 	defer func() { c.d.Tracker.ended(pick.runner, c.d.Clock.Now().Sub(sent)) }()
-	stall := c.watchSilence(cancel)
+	stop := c.watchSilence(cancel, pick, sent)
 	answer, err := c.d.Sender.Send(ctx, pick.runner, c.request, c.try(pick.runner))
-	stall.Stop()
+	stop()
 	if err != nil {
 		return c.unanswered(ctx, pick, err)
 	}
 	defer answer.Close()
 	c.sends++
+	c.d.Tracker.heard(pick.runner, c.d.Clock.Now())
 	if answer.Load != nil {
 		c.d.Tracker.told(pick.runner, *answer.Load, c.d.Clock.Now())
 	}
@@ -56,14 +57,35 @@
 	return c.runnerFailed(ctx, pick, answer)
 }
 
-// watchSilence ends a send whose runner stays silent while the request may go to another one.
-func (c *call) watchSilence(cancel context.CancelCauseFunc) interface{ Stop() bool } {
+// watchSilence ends a send when the runner has been silent towards all requests of this VM and this one may go to another
+// runner. A runner that is only busy still answers others. The watch goes on until stop is called.
+func (c *call) watchSilence(cancel context.CancelCauseFunc, pick choice, sent time.Time) (stop func()) {
+	if !c.route.Idempotent() {
+		return func() {}
+	}
 	wait := max(headStall*c.route.Objective, leastStall)
-	return c.d.Clock.AfterFunc(wait, func() {
-		if c.route.Idempotent() && c.hasAlternative() {
-			cancel(errStalled)
+	ended := make(chan struct{})
+	go func() {
+		for {
+			timer := c.d.Clock.NewTimer(wait)
+			select {
+			case <-ended:
+				timer.Stop()
+				return
+			case <-timer.Chan():
+			}
+			if c.silent(pick, sent, wait) && c.hasAlternative() {
+				cancel(errStalled)
+				return
+			}
 		}
-	})
+	}()
+	return func() { close(ended) }
+}
+
+// silent reports whether nothing came from the runner for a time.
+func (c *call) silent(pick choice, sent time.Time, wait time.Duration) bool {
+	return c.d.Tracker.silentFor(pick.runner, sent, c.d.Clock.Now()) >= wait
 }
 
 // unanswered handles a send without an answer.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -37,10 +37,20 @@
 	tried []string
 }
 
-// choose returns the runner with the least expected time for a request; its runner is nil when none can take it.
+// choose returns the runner with the least expected time for a request; its runner is nil when none can take it. Runners
+// that are avoided come last.
 func (t *Tracker) choose(view *roster.View, w wanted, now time.Time) choice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	best := t.best(view, w, now, false)
+	if best.runner == nil && best.holders > 0 {
+		best = t.best(view, w, now, true)
+	}
+	return best
+}
+
+// best returns the best choice among the runners that are not avoided, or among all; the caller holds the lock.
+func (t *Tracker) best(view *roster.View, w wanted, now time.Time, all bool) choice {
 	var best choice
 	holders, ready := 0, 0
 	for _, runner := range view.Service(w.service) {
@@ -49,7 +59,7 @@
 			continue
 		}
 		holders++
-		if runner.Draining || contains(w.tried, runner.ID) || (l != nil && l.avoided(now)) {
+		if runner.Draining || contains(w.tried, runner.ID) || (!all && l != nil && l.avoided(now)) {
 			continue
 		}
 		ready++
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -26,6 +26,8 @@
 	ownThen int
 	figures Figures
 	told    time.Time
+	// heard is when any byte last came from the runner.
+	heard time.Time
 	// work is the mean time of a request at the runner.
 	work time.Duration
 	// failures is a decayed share of failed sends, as of failedAt.
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -15,7 +15,7 @@
 	// pieceBytes is how much of a stream is read at once, pieceQueue how many pieces wait for the caller.
 	pieceBytes = 4 << 10
 	pieceQueue = 4
-	// eventStall is how long a stream may pause before it goes on at another runner, where it may.
+	// eventStall is how long a runner may send nothing at all before its streams go on at another one, where they may.
 	eventStall = time.Second
 )
 
@@ -101,7 +101,7 @@
 	defer close(stop)
 	go pump(answer.Body, pieces, stop)
 	for {
-		next, ok := c.nextPiece(ctx, pieces)
+		next, ok := c.nextPiece(ctx, pick, pieces)
 		if !ok {
 			answer.Close()
 			return c.truncated(ctx, pick, errStalled)
@@ -142,18 +142,20 @@
 }
 
 // nextPiece waits for more of a stream; it reports false when the runner is silent and another one can go on.
-func (c *call) nextPiece(ctx context.Context, pieces <-chan piece) (piece, bool) {
+func (c *call) nextPiece(ctx context.Context, pick choice, pieces <-chan piece) (piece, bool) {
+	from := c.d.Clock.Now()
 	for {
 		timer := c.d.Clock.NewTimer(eventStall)
 		select {
 		case next := <-pieces:
 			timer.Stop()
+			c.d.Tracker.heard(pick.runner, c.d.Clock.Now())
 			return next, true
 		case <-ctx.Done():
 			timer.Stop()
 			return piece{err: context.Cause(ctx)}, true
 		case <-timer.Chan():
-			if c.route.Idempotent() && c.hasAlternative() {
+			if c.route.Idempotent() && c.silent(pick, from, eventStall) && c.hasAlternative() {
 				return piece{}, false
 			}
 		}
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -62,6 +62,23 @@
 	l.probing(now)
 }
 
+// heard notes that the runner answered something.
+func (t *Tracker) heard(runner *roster.Runner, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load(runner.ID).heard = now
+}
+
+// silentFor returns how long nothing came from the runner, counted from a send at the earliest.
+func (t *Tracker) silentFor(runner *roster.Runner, sent, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if heard := t.load(runner.ID).heard; heard.After(sent) {
+		return now.Sub(heard)
+	}
+	return now.Sub(sent)
+}
+
 func (t *Tracker) told(runner *roster.Runner, f Figures, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -61,6 +61,7 @@
 	// settled is set once no new runner was seen for settleTime; newest is when the last one was.
 	settled atomic.Bool
 	newest  time.Time
+	first   bool
 }
 
 // Versioned is a configuration in the store's own form.
@@ -69,13 +70,15 @@
 	Encoded []byte
 }
 
-// New returns a watcher; its threads are RunConfiguration and RunRunners.
-func New(source Source, inForce *catalog.InForce, r *roster.Roster, peers Peers, clock clockwork.Clock, logger *slog.Logger) *Watcher {
+// New returns a watcher; its threads are RunConfiguration and RunRunners. A list that is read when the system started long
+// before counts as whole at once.
+func New(source Source, inForce *catalog.InForce, r *roster.Roster, peers Peers, firstStart bool, clock clockwork.Clock, logger *slog.Logger) *Watcher {
 	return &Watcher{
 		source:  source,
 		inForce: inForce,
 		roster:  r,
 		peers:   peers,
+		first:   firstStart,
 		clock:   clock,
 		logger:  logger,
 	}
@@ -252,7 +255,7 @@
 			w.newest = now
 		}
 	}
-	if !w.newest.IsZero() && now.Sub(w.newest) >= settleTime {
+	if !w.newest.IsZero() && (!w.first || now.Sub(w.newest) >= settleTime) {
 		w.settled.Store(true)
 	}
 }
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -82,7 +82,7 @@
 	}
 	s.settings.Store(&d.Settings)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	s.watcher = registry.New(d.Source, s.inForce, s.roster, s, d.Clock, d.Logger)
+	s.watcher = registry.New(d.Source, s.inForce, s.roster, s, d.Settings.VM.FirstStart, d.Clock, d.Logger)
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
 		Catalog: s.inForce.Current,
 		Roster:  s.roster.View,
--- a/internal/settings/serving.go
+++ b/internal/settings/serving.go
@@ -23,6 +23,8 @@
 	PeerAddress   string
 	// MetricsAddress is where metrics are answered.
 	MetricsAddress string
+	// FirstStart tells that the whole system starts for the first time, so that runners are still registering.
+	FirstStart bool
 	// Regions is the region of each failure domain.
 	Regions map[string]string
 }
@@ -128,6 +130,14 @@
 			meaning:  "The region of each failure domain.",
 			set:      pairs(func(s *Serving) *map[string]string { return &s.VM.Regions }),
 		},
+		{
+			section: "VM",
+			name:    "FirstStart",
+			example: "true",
+			allowed: "true or false",
+			meaning: "Whether the whole system starts for the first time.",
+			set:     truth(func(s *Serving) *bool { return &s.VM.FirstStart }),
+		},
 		{
 			section:  "Platform",
 			name:     "Store",
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -282,7 +282,13 @@
 	if t.fence != 0 || t.stopped || t.boot.Elapsed() < t.rest {
 		return false
 	}
-	return !t.known || t.last.Released || t.boot.Elapsed()-t.seen > t.options.Term || t.givenUp()
+	return !t.known || t.last.Released || t.boot.Elapsed()-t.seen > t.options.Term || t.givenUp() || t.ownBefore()
+}
+
+// ownBefore reports whether the newest record is of a former run of this very process: it listened on the address that
+// this one listens on now, so it has ended. The caller holds the lock.
+func (t *Tenure) ownBefore() bool {
+	return t.last.Address == t.options.Address && t.last.Holder == t.options.Name
 }
 
 // givenUp reports whether the newest record is of a tenure that its holder said it gave up; the caller holds the lock.
