Count models on their way out as gone, weigh late answers, time at runners and the work of each runner in the layout

Cause: a model being unloaded still counted as a replica, so that its last other replica was taken for spare (layout chose steps for models with no replica left); slow models got too few replicas, whose streams paused for more than the route wants while other runners were idle; failed steps used up the credit for loads.

--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -27,6 +27,8 @@
 	Timeout time.Duration
 	// Objective is the time to the answer, or to the first event of a stream.
 	Objective time.Duration
+	// MaxPause is the longest pause between events of a stream that is on time; zero if the route does not say.
+	MaxPause time.Duration
 	// Priority is the rank among routes; 0 comes first.
 	Priority int
 	// MaxSends is how many runners one request may be sent to.
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -52,7 +52,11 @@
 	}
 	c.mayHaveRun = true
 	if answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
-		return c.relay(ctx, pick, answer)
+		again, refused := c.relay(ctx, pick, answer)
+		if c.outcome == Answered && c.request.Model != "" {
+			c.d.Wants.Took(c.service.Name, c.request.Model, c.d.Clock.Now().Sub(sent), c.late())
+		}
+		return again, refused
 	}
 	return c.runnerFailed(ctx, pick, answer)
 }
@@ -155,6 +159,11 @@
 	return c.relayWhole(ctx, pick, answer)
 }
 
+// late reports whether the answer began after the objective or paused for longer than the route wants.
+func (c *call) late() bool {
+	return c.first.Sub(c.request.Arrived) > c.route.Objective || (c.route.MaxPause > 0 && c.pause > c.route.MaxPause)
+}
+
 // relay passes a success on.
 func (c *call) relay(ctx context.Context, pick choice, answer *Answer) (bool, *refusal.Refusal) {
 	if c.route.Kind == catalog.Streaming {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -48,6 +48,9 @@
 	runner  string
 	pick    choice
 	first   time.Time
+	// last is when the last piece was passed on, pause the longest time between two.
+	last  time.Time
+	pause time.Duration
 }
 
 // Outcome says how a request ended.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -9,7 +9,7 @@
 
 const (
 	// requestCost is what each request at a runner adds to the expected time of the next one.
-	requestCost = 3 * time.Millisecond
+	requestCost = 6 * time.Millisecond
 	// failureCost is what a runner's failing adds to the expected time when every send fails.
 	failureCost = 300 * time.Millisecond
 	// similar is how much worse than the best a choice may be and still be taken, so that VMs with the same view
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -21,9 +21,11 @@
 	defaultTimeout = 30 * time.Second
 )
 
-// Wants takes note of models and adapters that callers asked for and no runner has.
+// Wants takes note of the models and adapters that callers ask for, and of those that no runner has.
 type Wants interface {
-	Asked(service, model, adapter string, tokens int)
+	Asked(service, model, adapter string)
+	// Took tells how long an answered request to a model lasted at its runner, and whether its answer was late.
+	Took(service, model string, took time.Duration, late bool)
 	Missing(service, model, adapter string)
 }
 
@@ -86,7 +88,7 @@
 	c.route = route
 	c.service, _ = current.Service(route.Service(rand.IntN))
 	if c.service.Engine != nil && c.request.Model != "" {
-		c.d.Wants.Asked(c.service.Name, c.request.Model, c.request.Adapter, c.request.PromptTokens)
+		c.d.Wants.Asked(c.service.Name, c.request.Model, c.request.Adapter)
 	}
 	c.d.Budget.Arrived(c.service.Name, c.d.Clock.Now())
 	c.deadline = c.request.Arrived.Add(c.limit())
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -28,7 +28,7 @@
 		}, []string{"service", "priority", "outcome"}),
 		onTime: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cowsliparch_requests_on_time_total",
-			Help: "Requests whose answer began within the route's objective.",
+			Help: "Requests whose answer began within the route's objective and did not pause for too long.",
 		}, []string{"service", "priority"}),
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "cowsliparch_request_first_seconds",
@@ -66,7 +66,7 @@
 	}
 	first := c.first.Sub(c.request.Arrived)
 	m.first.WithLabelValues(service, priority).Observe(first.Seconds())
-	if c.outcome == Answered && first <= c.route.Objective {
+	if c.outcome == Answered && !c.late() {
 		m.onTime.WithLabelValues(service, priority).Inc()
 	}
 }
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -41,7 +41,8 @@
 		attrs = append(attrs, slog.String("Route", route), slog.String("Service", c.service.Name))
 	}
 	if !c.first.IsZero() {
-		attrs = append(attrs, slog.Int64("FirstMS", c.first.Sub(c.request.Arrived).Milliseconds()))
+		attrs = append(attrs, slog.Int64("FirstMS", c.first.Sub(c.request.Arrived).Milliseconds()),
+			slog.Int64("PauseMS", c.pause.Milliseconds()))
 	}
 	attrs = append(attrs,
 		slog.Int("Holders", c.pick.holders),
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -131,9 +131,7 @@
 	if err != nil || len(whole) == 0 {
 		return false, err
 	}
-	if c.first.IsZero() {
-		c.first = c.d.Clock.Now()
-	}
+	c.passed(c.d.Clock.Now())
 	if c.caller.Write(whole) != nil {
 		c.outcome = Left
 		return true, nil
@@ -141,6 +139,16 @@
 	return false, nil
 }
 
+// passed notes when a piece is passed on.
+func (c *call) passed(now time.Time) {
+	if c.first.IsZero() {
+		c.first = now
+	} else {
+		c.pause = max(c.pause, now.Sub(c.last))
+	}
+	c.last = now
+}
+
 // nextPiece waits for more of a stream; it reports false when the runner is silent and another one can go on.
 func (c *call) nextPiece(ctx context.Context, pick choice, pieces <-chan piece) (piece, bool) {
 	from := c.d.Clock.Now()
--- a/internal/layout/adapters.go
+++ b/internal/layout/adapters.go
@@ -167,8 +167,8 @@
 
 // takes reports whether a runner can be given the adapter in this plan.
 func (p *adapterPlan) takes(r *Runner, a Adapter) bool {
-	adapters, held := r.Models[a.Model]
-	if !held || slices.Contains(adapters, a.Name) {
+	adapters := r.Models[a.Model]
+	if !r.serves(a.Model) || slices.Contains(adapters, a.Name) {
 		return false
 	}
 	step := p.steps[r.ID]
--- a/internal/layout/demand.go
+++ b/internal/layout/demand.go
@@ -2,7 +2,7 @@
 
 // Demand is what callers ask for now.
 type Demand struct {
-	// Work is the tokens a second asked of each model.
+	// Work is the runner time asked of each model each second.
 	Work map[string]float64
 	// Requests is the requests a second for each model.
 	Requests map[string]float64
@@ -30,3 +30,12 @@
 	}
 	return sum
 }
+
+// requests returns the requests a second for all models.
+func (d Demand) requests() float64 {
+	sum := 0.0
+	for _, rate := range d.Requests {
+		sum += rate
+	}
+	return sum
+}
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -8,9 +8,11 @@
 
 const (
 	// leastGain is the part of the whole demand that one more replica must take off the others.
-	leastGain = 0.025
+	leastGain = 0.02
+	// leastRequests is the requests a second below which demand says too little to move models.
+	leastRequests = 15
 	// hysteresis is by how much a replica's gain must exceed the loss of those that make room for it.
-	hysteresis = 1.6
+	hysteresis = 1.4
 	// lastReplica is the value of a model's only replica, beyond any gain.
 	lastReplica = math.MaxFloat64
 	// domainShare is the part of a gain that each replica in the same failure domain takes off it.
@@ -21,10 +23,12 @@
 
 // plan holds the replicas and steps while they are worked out.
 type plan struct {
-	engine   *catalog.Engine
-	runners  []*Runner
-	demand   Demand
+	engine  *catalog.Engine
+	runners []*Runner
+	demand  Demand
+	// replicas counts models also where they are on their way, present only where they serve.
 	replicas map[string]int
+	present  map[string]int
 	taken    map[string]bool
 }
 
@@ -34,7 +38,8 @@
 		engine:   engine,
 		runners:  runners,
 		demand:   demand,
-		replicas: Replicas(runners),
+		replicas: replicas(runners, (*Runner).has),
+		present:  replicas(runners, (*Runner).serves),
 		taken:    make(map[string]bool),
 	}
 	var steps []Step
@@ -50,26 +55,29 @@
 		p.replicas[step.Load]++
 		for _, victim := range step.Unload {
 			p.replicas[victim]--
+			p.present[victim]--
 		}
 		steps = append(steps, step)
 	}
 }
 
-// Replicas counts the runners that have each model, or soon will.
-func Replicas(runners []*Runner) map[string]int {
-	replicas := make(map[string]int)
+// replicas counts the runners for which a predicate on a model holds.
+func replicas(runners []*Runner, holds func(*Runner, string) bool) map[string]int {
+	counts := make(map[string]int)
 	for _, r := range runners {
 		if r.Leaving {
 			continue
 		}
 		for model := range r.Models {
-			replicas[model]++
+			if holds(r, model) {
+				counts[model]++
+			}
 		}
-		if _, held := r.Models[r.Loading]; r.Loading != "" && !held {
-			replicas[r.Loading]++
+		if _, held := r.Models[r.Loading]; r.Loading != "" && !held && holds(r, r.Loading) {
+			counts[r.Loading]++
 		}
 	}
-	return replicas
+	return counts
 }
 
 // value returns what the last of n replicas takes off the others.
@@ -94,6 +102,9 @@
 // next returns the best step that is worth it.
 func (p *plan) next(store bool) (Step, bool) {
 	floor := leastGain * p.demand.total()
+	if p.demand.requests() < leastRequests {
+		floor = lastReplica / 2
+	}
 	var best Step
 	found := false
 	for _, model := range p.engine.Models {
@@ -130,7 +141,7 @@
 		if !ok || (gain < lastReplica && gain < hysteresis*cost) {
 			continue
 		}
-		score := cost + preference(gain, p.demand.total())*domainShare*float64(domains[r.FailureDomain])
+		score := cost + p.load(r, victims) + preference(gain, p.demand.total())*domainShare*float64(domains[r.FailureDomain])
 		if fromStore {
 			score += preference(gain, p.demand.total()) * storeShare
 		}
@@ -151,6 +162,17 @@
 	return chosen, chosen.Runner != ""
 }
 
+// load returns the work that falls to a runner without some of its models.
+func (p *plan) load(r *Runner, without []string) float64 {
+	sum := 0.0
+	for model := range r.Models {
+		if !contains(without, model) {
+			sum += p.demand.Work[model] / float64(max(p.replicas[model], 1))
+		}
+	}
+	return sum
+}
+
 // preference scales what is only preferred by the gain, which is unbounded for a model without a replica.
 func preference(gain, total float64) float64 { return min(gain, total+1) }
 
@@ -187,7 +209,7 @@
 func (p *plan) cheapest(r *Runner, without []string) (string, float64) {
 	name, least := "", lastReplica
 	for model := range r.Models {
-		if worth := p.value(model, p.replicas[model]); worth < least && !contains(without, model) {
+		if worth := p.value(model, p.present[model]); worth < least && !contains(without, model) {
 			name, least = model, worth
 		}
 	}
--- a/internal/layout/runner.go
+++ b/internal/layout/runner.go
@@ -8,8 +8,9 @@
 	FailureDomain string
 	// Models is the adapters of each model that the runner has.
 	Models map[string][]string
-	// Loading is the model of a step under way.
-	Loading string
+	// Loading is the model that a step under way brings, Unloading those that it takes away.
+	Loading   string
+	Unloading []string
 	// Busy runners take no further step now.
 	Busy bool
 	// Leaving runners count for nothing.
@@ -19,9 +20,12 @@
 	OnDisk   []string
 }
 
-func (r *Runner) has(model string) bool {
+func (r *Runner) has(model string) bool { return r.serves(model) || r.Loading == model }
+
+// serves reports whether the runner has the model and keeps it.
+func (r *Runner) serves(model string) bool {
 	_, ok := r.Models[model]
-	return ok || r.Loading == model
+	return ok && !slices.Contains(r.Unloading, model)
 }
 
 // atHand reports whether the runner has a copy of the model's weights.
--- a/internal/orders/book.go
+++ b/internal/orders/book.go
@@ -19,9 +19,13 @@
 	known  bool
 	models map[string][]string
 	// until is how long models goes before the registration.
-	until   time.Time
-	busy    bool
-	loading string
+	until time.Time
+	busy  bool
+	// loading and unloading are the models of the step under way.
+	loading   string
+	unloading []string
+	// rest is until when the runner takes no step after one that brought nothing.
+	rest time.Time
 }
 
 // follow takes in the runner's registration.
@@ -57,6 +61,7 @@
 		FailureDomain: b.runner.FailureDomain,
 		Models:        b.models,
 		Loading:       b.loading,
+		Unloading:     b.unloading,
 		Busy:          b.busy,
 		Leaving:       b.runner.Draining,
 		InMemory:      b.runner.InMemory,
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -61,7 +61,7 @@
 
 func add(d layout.Demand, rate Rate) {
 	if rate.Adapter == "" {
-		d.Work[rate.Model] += rate.Tokens
+		d.Work[rate.Model] += rate.Work
 		d.Requests[rate.Model] += rate.Requests
 		return
 	}
--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -45,6 +45,8 @@
 	orders  uint64
 	known   bool
 	changed bool
+	// loading is set once the load of the step may have begun.
+	loading bool
 }
 
 func (e *execution) run(ctx context.Context) {
@@ -113,6 +115,7 @@
 	if _, held := e.models[e.step.Load]; held || !ok || !e.fits(model) {
 		return held
 	}
+	e.loading = true
 	if !e.send(ctx, Order{Model: model.Name}) {
 		return false
 	}
--- a/internal/orders/meter.go
+++ b/internal/orders/meter.go
@@ -21,7 +21,8 @@
 	Model    string
 	Adapter  string
 	Requests float64
-	Tokens   float64
+	// Work is the runner time asked for each second, from how long requests to the model last; late answers add to it.
+	Work float64
 }
 
 type meterKey struct {
@@ -30,53 +31,91 @@
 	adapter string
 }
 
-type rate struct {
-	tokens   float64
-	requests float64
-}
+// typicalTime is how long a request lasts at a runner before any was seen.
+const typicalTime = 1.0
+
+const (
+	// timeWeight is the weight of the newest request in the mean time of a model's requests, and in its share of late ones.
+	timeWeight = 0.05
+	// lateCost is by how many times a model's work counts more when all of its answers are late: its runners are too
+	// busy, whatever the times say.
+	lateCost = 4
+)
 
 // Meter keeps moving rates of what one VM is asked for; it is safe for concurrent use.
 type Meter struct {
 	mu    sync.Mutex
-	rates map[meterKey]rate
+	rates map[meterKey]float64
 	at    time.Time
+	// times is how long requests to each model last, in seconds, all the same over all models.
+	times map[meterKey]float64
+	all   float64
+	// late is the share of answers of each model that were late.
+	late map[meterKey]float64
 }
 
 // NewMeter returns a meter without demand.
 func NewMeter(now time.Time) *Meter {
 	return &Meter{
-		rates: make(map[meterKey]rate),
+		rates: make(map[meterKey]float64),
+		times: make(map[meterKey]float64),
+		late:  make(map[meterKey]float64),
+		all:   typicalTime,
 		at:    now,
 	}
 }
 
 // Add counts one request.
-func (m *Meter) Add(service, model, adapter string, tokens int, now time.Time) {
+func (m *Meter) Add(service, model, adapter string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.decay(now)
 	m.count(meterKey{
 		service: service,
 		model:   model,
-	}, tokens)
+	})
 	if adapter != "" {
 		m.count(meterKey{
 			service: service,
 			model:   model,
 			adapter: adapter,
-		}, tokens)
+		})
 	}
 }
 
-// count adds to one rate; the caller holds the lock.
-func (m *Meter) count(k meterKey, tokens int) {
-	perSecond := 1 / k.memory().Seconds()
-	r := m.rates[k]
-	r.tokens += float64(tokens) * perSecond
-	r.requests += perSecond
-	m.rates[k] = r
+// Took counts how long an answered request lasted, and whether its answer was late.
+func (m *Meter) Took(service, model string, took time.Duration, late bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := meterKey{
+		service: service,
+		model:   model,
+	}
+	seconds := took.Seconds()
+	m.all += timeWeight * (seconds - m.all)
+	before, known := m.times[k]
+	if !known {
+		before = m.all
+	}
+	m.times[k] = before + timeWeight*(seconds-before)
+	m.late[k] *= 1 - timeWeight
+	if late {
+		m.late[k] += timeWeight
+	}
 }
 
+// time returns how long requests to a model last; the caller holds the lock.
+func (m *Meter) time(k meterKey) float64 {
+	k.adapter = ""
+	if seconds, known := m.times[k]; known {
+		return seconds
+	}
+	return m.all
+}
+
+// count adds to one rate; the caller holds the lock.
+func (m *Meter) count(k meterKey) { m.rates[k] += 1 / k.memory().Seconds() }
+
 // memory returns the time constant of a rate.
 func (k meterKey) memory() time.Duration {
 	if k.adapter != "" {
@@ -94,13 +133,11 @@
 	m.at = now
 	for k, r := range m.rates {
 		left := math.Exp(-passed.Seconds() / k.memory().Seconds())
-		r.tokens *= left
-		r.requests *= left
-		if r.requests < forgotten {
+		if r*left < forgotten {
 			delete(m.rates, k)
 			continue
 		}
-		m.rates[k] = r
+		m.rates[k] = r * left
 	}
 }
 
@@ -115,8 +152,8 @@
 			Service:  k.service,
 			Model:    k.model,
 			Adapter:  k.adapter,
-			Requests: r.requests,
-			Tokens:   r.tokens,
+			Requests: r,
+			Work:     r * m.time(k) * (1 + lateCost*m.late[meterKey{service: k.service, model: k.model}]),
 		})
 	}
 	return out
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -22,10 +22,10 @@
 	wakePause = 3 * time.Millisecond
 	// settleTime is for how long after a takeover only what is missing altogether is loaded, until demand is known.
 	settleTime = 1500 * time.Millisecond
+	// restTime is for how long a runner is left alone after a step that brought nothing.
+	restTime = 500 * time.Millisecond
 	// loadBurst is how many loads from the weight store may begin beyond its rate.
 	loadBurst = 2
-	// missingTokens is the demand assumed for what was asked for and no runner has.
-	missingTokens = 1
 )
 
 // Lease tells whether this VM may send orders.
@@ -103,7 +103,7 @@
 
 // Missing asks for a model or adapter that no runner has; the next plan comes at once.
 func (s *Steward) Missing(service, model, adapter string) {
-	s.missing.Add(service, model, adapter, missingTokens, s.Clock.Now())
+	s.missing.Add(service, model, adapter, s.Clock.Now())
 	s.poke()
 }
 
@@ -199,6 +199,7 @@
 		}
 		b.follow(r, now)
 		runner := b.view()
+		runner.Busy = runner.Busy || now.Before(b.rest)
 		runners = append(runners, runner)
 		byID[r.ID] = runner
 	}
@@ -233,7 +234,7 @@
 func (s *Steward) start(ctx context.Context, service catalog.Service, step layout.Step, demand layout.Demand) {
 	b := s.books[step.Runner]
 	b.busy = true
-	b.loading = step.Load
+	b.loading, b.unloading = step.Load, step.Unload
 	if step.FromStore {
 		s.credit[service.Name]--
 		s.storeLoads[service.Name]++
@@ -265,10 +266,16 @@
 	defer s.mu.Unlock()
 	if e.step.FromStore {
 		s.storeLoads[e.service.Name]--
+		if !e.loading {
+			s.credit[e.service.Name]++
+		}
 	}
 	b := e.book
+	if !e.changed {
+		b.rest = s.Clock.Now().Add(restTime)
+	}
 	b.busy = false
-	b.loading = ""
+	b.loading, b.unloading = "", nil
 	b.orders, b.known = e.orders, e.known
 	if e.changed {
 		b.settle(e.models, s.Clock.Now())
--- a/internal/serving/local.go
+++ b/internal/serving/local.go
@@ -109,8 +109,13 @@
 }
 
 // Asked implements dispatch.Wants.
-func (w *wants) Asked(service, model, adapter string, tokens int) {
-	w.server.meter.Add(service, model, adapter, tokens, w.server.Clock.Now())
+func (w *wants) Asked(service, model, adapter string) {
+	w.server.meter.Add(service, model, adapter, w.server.Clock.Now())
+}
+
+// Took implements dispatch.Wants.
+func (w *wants) Took(service, model string, took time.Duration, late bool) {
+	w.server.meter.Took(service, model, took, late)
 }
 
 // Missing implements dispatch.Wants.
