--- a/internal/layout/adapters.go
+++ b/internal/layout/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 
@@ -113,7 +114,7 @@
 		p.add(r, w.adapter)
 		return
 	}
-	if !mayDrop || w.rate == 0 {
+	if !mayDrop || (w.rate == 0 && !p.demand.Missing[w.adapter]) {
 		return
 	}
 	if r, victim, ok := p.droppable(w); ok {
@@ -175,11 +176,15 @@
 	return step == nil || (len(step.Adapters) < stepAdapters && !slices.Contains(step.Adapters, a))
 }
 
-// droppable returns the least wanted adapter, on a runner that has the model, that may make room.
+// droppable returns the least wanted adapter, on a runner that has the model, that may make room. For one that a caller
+// waits for any other may go, so that where places are few each gets its turn.
 func (p *adapterPlan) droppable(w wish) (*Runner, Adapter, bool) {
 	var at *Runner
 	var victim Adapter
 	least := dropShare * w.rate
+	if p.demand.Missing[w.adapter] {
+		least = math.Inf(1)
+	}
 	for _, r := range p.runners {
 		if !p.takes(r, w.adapter) {
 			continue
@@ -188,7 +193,7 @@
 			for _, name := range adapters {
 				a := Adapter{Model: model, Name: name}
 				rate := p.demand.Adapters[model][name] / float64(max(p.copies[a], 1))
-				if rate < least && !p.dropped(r, a) {
+				if rate < least && !r.Fresh[a] && !p.dropped(r, a) {
 					at, victim, least = r, a, rate
 				}
 			}
--- a/internal/layout/demand.go
+++ b/internal/layout/demand.go
@@ -8,6 +8,8 @@
 	Requests map[string]float64
 	// Adapters is the requests a second for each adapter of a model.
 	Adapters map[string]map[string]float64
+	// Missing is the adapters that were asked for just now and that no runner has.
+	Missing map[Adapter]bool
 }
 
 // adapterShare returns the part of a model's requests that ask for adapters, and how many adapters they ask for.
--- a/internal/layout/runner.go
+++ b/internal/layout/runner.go
@@ -11,6 +11,8 @@
 	// Loading is the model that a step under way brings, Unloading those that it takes away.
 	Loading   string
 	Unloading []string
+	// Fresh is the adapters that came so lately that who asked for them may not have used them yet.
+	Fresh map[Adapter]bool
 	// Busy runners take no further step now.
 	Busy bool
 	// Leaving runners count for nothing.
--- a/internal/orders/book.go
+++ b/internal/orders/book.go
@@ -8,6 +8,9 @@
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
+// freshTime is for how long an adapter stays for who asked for it; a refused caller comes back within about half a second.
+const freshTime = time.Second
+
 // believed is for how long the outcome of own orders goes before the runner's registration, which lags.
 const believed = 3 * time.Second
 
@@ -24,10 +27,25 @@
 	// loading and unloading are the models of the step under way.
 	loading   string
 	unloading []string
+	// brought is when each adapter came.
+	brought map[layout.Adapter]time.Time
 	// rest is until when the runner takes no step after one that brought nothing.
 	rest time.Time
 }
 
+// fresh returns the adapters that came lately, and forgets the others.
+func (b *book) fresh(now time.Time) map[layout.Adapter]bool {
+	fresh := make(map[layout.Adapter]bool)
+	for a, at := range b.brought {
+		if now.Sub(at) > freshTime {
+			delete(b.brought, a)
+			continue
+		}
+		fresh[a] = true
+	}
+	return fresh
+}
+
 // follow takes in the runner's registration.
 func (b *book) follow(r *roster.Runner, now time.Time) {
 	if b.runner == nil || b.runner.Born != r.Born {
@@ -46,6 +64,16 @@
 	b.until = now.Add(believed)
 }
 
+// bring notes that adapters came.
+func (b *book) bring(adapters []layout.Adapter, now time.Time) {
+	if b.brought == nil {
+		b.brought = make(map[layout.Adapter]time.Time)
+	}
+	for _, a := range adapters {
+		b.brought[a] = now
+	}
+}
+
 func byModel(holdings []roster.Holding) map[string][]string {
 	models := make(map[string][]string, len(holdings))
 	for _, h := range holdings {
@@ -55,8 +83,9 @@
 }
 
 // view returns the runner as the planner sees it.
-func (b *book) view() *layout.Runner {
+func (b *book) view(now time.Time) *layout.Runner {
 	return &layout.Runner{
+		Fresh:         b.fresh(now),
 		ID:            b.runner.ID,
 		FailureDomain: b.runner.FailureDomain,
 		Models:        b.models,
--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -47,6 +47,8 @@
 	changed bool
 	// loading is set once the load of the step may have begun.
 	loading bool
+	// brought is the adapters that the step loaded.
+	brought []layout.Adapter
 }
 
 func (e *execution) run(ctx context.Context) {
@@ -206,6 +208,7 @@
 		return false
 	}
 	e.setAdapters(a.Model, append(slices.Clone(adapters), a.Name))
+	e.brought = append(e.brought, a)
 	e.sleep(ctx, adapterTime)
 	e.announce(a.Model, a.Name, true)
 	return true
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -22,6 +22,8 @@
 	wakePause = 3 * time.Millisecond
 	// settleTime is for how long after a takeover only what is missing altogether is loaded, until demand is known.
 	settleTime = 1500 * time.Millisecond
+	// missingNow is the rate above which an adapter counts as asked for just now: one request counts so for two seconds.
+	missingNow = 0.12
 	// restTime is for how long a runner is left alone after a step that brought nothing.
 	restTime = 500 * time.Millisecond
 	// loadBurst is how many loads from the weight store may begin beyond its rate.
@@ -198,7 +200,7 @@
 			s.books[r.ID] = b
 		}
 		b.follow(r, now)
-		runner := b.view()
+		runner := b.view(now)
 		runner.Busy = runner.Busy || now.Before(b.rest)
 		runners = append(runners, runner)
 		byID[r.ID] = runner
@@ -219,9 +221,14 @@
 // demand sums up what the VMs tell; shortly after a takeover the work counts only once most of them spoke.
 func (s *Steward) demand(service string, now time.Time) layout.Demand {
 	demand, told := s.reports.demand(service, now)
+	demand.Missing = make(map[layout.Adapter]bool)
 	for _, rate := range s.missing.Rates(now) {
-		if rate.Service == service {
-			add(demand, rate)
+		if rate.Service != service {
+			continue
+		}
+		add(demand, rate)
+		if rate.Adapter != "" && rate.Requests > missingNow {
+			demand.Missing[layout.Adapter{Model: rate.Model, Name: rate.Adapter}] = true
 		}
 	}
 	if now.Sub(s.since) < settleTime && told <= s.VMs()/2 {
@@ -280,5 +287,6 @@
 	if e.changed {
 		b.settle(e.models, s.Clock.Now())
 	}
+	b.bring(e.brought, s.Clock.Now())
 	s.poke()
 }
