--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -15,12 +15,14 @@
 )
 
 const (
-	// orderTimeout bounds one order or report.
-	orderTimeout = time.Second
+	// orderTimeout bounds one order or report; the farthest runner answers within about 70 ms.
+	orderTimeout = 350 * time.Millisecond
 	// orderTries is how often one order is sent until it is answered; all bear the same count, so one is accepted at most.
-	orderTries = 4
-	// retryPause is the pause before an order or report is sent again; reports lag by some hundred milliseconds.
-	retryPause = 300 * time.Millisecond
+	orderTries = 6
+	// lagPause is the pause after which a report shows what was so before; reports lag by some hundred milliseconds.
+	lagPause = 300 * time.Millisecond
+	// retryPause is the pause before an order that was not answered is sent again.
+	retryPause = 20 * time.Millisecond
 	// noticeTime is how long VMs have to learn that a model is about to leave a runner.
 	noticeTime = 80 * time.Millisecond
 	// pollPause is the pause between two reports while an order is carried out.
@@ -78,7 +80,7 @@
 			e.take(state)
 			return true
 		}
-		if !e.sleep(ctx, retryPause) {
+		if !e.sleep(ctx, lagPause) {
 			return false
 		}
 	}
@@ -293,7 +295,7 @@
 // resync reads the runner's state after a conflict; the step goes on only if the order turns out to be carried out.
 func (e *execution) resync(ctx context.Context, o Order) bool {
 	e.known = false
-	if !e.sleep(ctx, retryPause) || !e.sync(ctx) {
+	if !e.sleep(ctx, lagPause) || !e.sync(ctx) {
 		return false
 	}
 	adapters, held := e.models[o.Model]
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,8 +61,9 @@
 	out         atomic.Bool
 	// settled is set once no new runner was seen for settleTime; newest is when the last one was.
 	settled atomic.Bool
-	newest  time.Time
 	first   bool
+	mu      sync.Mutex
+	newest  time.Time
 }
 
 // Versioned is a configuration in the store's own form.
@@ -222,10 +224,10 @@
 		updates = w.roster.Replace(registered(read.Changes), now)
 	}
 	updates = append(updates, w.roster.Expire(now)...)
-	w.logUpdates(updates)
+	w.noted(updates)
 	w.forward(updates)
 	w.runnersRead.Store(true)
-	w.settle(updates, now)
+	w.settle(now)
 }
 
 // forward hands on what changed, if this VM reads for the others.
@@ -245,19 +247,27 @@
 
 // TakeChanges takes in what the holder read of single registrations.
 func (w *Watcher) TakeChanges(changes []roster.Change) {
-	w.logUpdates(w.roster.Apply(changes, w.clock.Now()))
+	w.noted(w.roster.Apply(changes, w.clock.Now()))
+}
+
+// settle notes when the list of runners, however it was learned, no longer grows for the first time.
+func (w *Watcher) settle(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.newest.IsZero() && (!w.first || now.Sub(w.newest) >= settleTime) {
+		w.settled.Store(true)
+	}
 }
 
-// settle notes when the list of runners no longer grows for the first time.
-func (w *Watcher) settle(updates []roster.Update, now time.Time) {
+// noteNew remembers when a runner was last seen for the first time.
+func (w *Watcher) noteNew(updates []roster.Update) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, u := range updates {
 		if u.Before == nil {
-			w.newest = now
+			w.newest = w.clock.Now()
 		}
 	}
-	if !w.newest.IsZero() && (!w.first || now.Sub(w.newest) >= settleTime) {
-		w.settled.Store(true)
-	}
 }
 
 func registered(changes []roster.Change) []*roster.Runner {
@@ -270,7 +280,9 @@
 	return out
 }
 
-func (w *Watcher) logUpdates(updates []roster.Update) {
+// noted logs what changed.
+func (w *Watcher) noted(updates []roster.Update) {
+	w.noteNew(updates)
 	for _, u := range updates {
 		switch {
 		case u.After == nil:
@@ -341,5 +353,5 @@
 	for i := range runners {
 		listed = append(listed, &runners[i])
 	}
-	w.logUpdates(w.roster.Adopt(listed, w.clock.Now()))
+	w.noted(w.roster.Adopt(listed, w.clock.Now()))
 }
