--- /dev/null
+++ b/internal/dispatch/budget_test.go
@@ -0,0 +1,77 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
+)
+
+// Over any window, further sends stay within the ratio of the requests and the slack, however both come.
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := dispatch.BudgetLimits{
+			Window: 10 * time.Second,
+			Ratio:  0.2,
+			Slack:  rapid.Float64Range(0, 60).Draw(t, "slack"),
+		}
+		clock := clockwork.NewFakeClock()
+		b := dispatch.NewBudget(limits, clock.Now())
+		var requests, further []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			for range rapid.IntRange(0, 3).Draw(t, "requests") {
+				b.Arrived("s", clock.Now())
+				requests = append(requests, clock.Now())
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "further") {
+				if b.Take("s", clock.Now()) {
+					further = append(further, clock.Now())
+				}
+			}
+			since := clock.Now().Add(-limits.Window)
+			// Requests of the window before count too, as the limit is stated.
+			allowed := limits.Ratio*float64(after(requests, since.Add(-limits.Window))) + limits.Slack
+			require.LessOrEqual(t, float64(after(further, since)), allowed)
+		}
+	})
+}
+
+func after(times []time.Time, since time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestBudgetIsSharedAmongVMs(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	limits := dispatch.BudgetLimits{Window: 10 * time.Second, Slack: 90}
+	taken := 0
+	for range 9 {
+		b := dispatch.NewBudget(limits, clock.Now())
+		b.Share(limits, 9)
+		for b.Take("s", clock.Now()) {
+			taken++
+		}
+	}
+	require.LessOrEqual(t, taken, 90)
+	require.Positive(t, taken)
+}
+
+func TestBudgetsOfServicesAreApart(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := dispatch.NewBudget(dispatch.BudgetLimits{Window: time.Second, Slack: 2}, clock.Now())
+	require.True(t, b.Take("s", clock.Now()))
+	require.False(t, b.Room("s", clock.Now()))
+	require.True(t, b.Room("other", clock.Now()))
+	clock.Advance(2 * time.Second)
+	require.True(t, b.Room("s", clock.Now()))
+}
