--- /dev/null
+++ b/internal/layout/layout_test.go
@@ -0,0 +1,313 @@
+package layout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/layout"
+)
+
+func engine(models, adapters int) *catalog.Engine {
+	e := &catalog.Engine{
+		WeightsMB:      220,
+		AdapterPlaces:  8,
+		LoadsPerSecond: 2,
+	}
+	for i := range models {
+		e.Models = append(e.Models, catalog.Model{
+			Name:      fmt.Sprintf("m%d", i),
+			WeightsMB: 70,
+			LoadTime:  time.Second,
+			Adapters:  adapters,
+			AdapterMB: 0.1,
+		})
+	}
+	return e
+}
+
+func runner(id, domain string, models ...string) *layout.Runner {
+	r := &layout.Runner{
+		ID:            id,
+		FailureDomain: domain,
+		Models:        make(map[string][]string),
+	}
+	for _, m := range models {
+		r.Models[m] = nil
+	}
+	return r
+}
+
+func demand(work map[string]float64) layout.Demand {
+	d := layout.Demand{
+		Work:     work,
+		Requests: make(map[string]float64),
+		Adapters: make(map[string]map[string]float64),
+	}
+	for m := range work {
+		d.Requests[m] = 100
+	}
+	return d
+}
+
+func TestMissingModelIsLoaded(t *testing.T) {
+	e := engine(4, 0)
+	runners := []*layout.Runner{runner("r1", "a", "m0", "m1", "m2"), runner("r2", "b", "m0", "m1", "m2")}
+	steps := layout.Models(e, runners, demand(nil), 5)
+	require.Len(t, steps, 1)
+	require.Equal(t, "m3", steps[0].Load)
+	require.Len(t, steps[0].Unload, 1)
+}
+
+func TestLastReplicaStays(t *testing.T) {
+	e := engine(4, 0)
+	runners := []*layout.Runner{runner("r1", "a", "m0", "m1", "m2")}
+	require.Empty(t, layout.Models(e, runners, demand(map[string]float64{"m3": 100}), 5))
+}
+
+// What is on its way out is no replica, so the other one is the last.
+func TestModelOnItsWayOutIsNoReplica(t *testing.T) {
+	e := engine(4, 0)
+	going := runner("r1", "a", "m0", "m1")
+	going.Unloading = []string{"m0"}
+	going.Loading = "m2"
+	going.Busy = true
+	runners := []*layout.Runner{going, runner("r2", "b", "m0", "m1", "m2")}
+	for _, step := range layout.Models(e, runners, demand(map[string]float64{"m3": 100}), 5) {
+		require.NotContains(t, step.Unload, "m0")
+	}
+}
+
+// What is on its way in serves nobody yet, so the present replica is the last.
+func TestModelOnItsWayInDoesNotReplaceAnother(t *testing.T) {
+	e := engine(4, 0)
+	coming := runner("r1", "a", "m1", "m2")
+	coming.Loading = "m0"
+	coming.Busy = true
+	runners := []*layout.Runner{coming, runner("r2", "b", "m0", "m1", "m2")}
+	for _, step := range layout.Models(e, runners, demand(map[string]float64{"m3": 100}), 5) {
+		require.NotContains(t, step.Unload, "m0")
+	}
+}
+
+func TestLeavingRunnerCountsForNothing(t *testing.T) {
+	e := engine(2, 0)
+	leaving := runner("r1", "a", "m0")
+	leaving.Leaving = true
+	steps := layout.Models(e, []*layout.Runner{leaving, runner("r2", "b", "m1")}, demand(nil), 5)
+	require.Len(t, steps, 1)
+	require.Equal(t, "m0", steps[0].Load)
+	require.Equal(t, "r2", steps[0].Runner)
+}
+
+func TestBusyModelGetsReplicas(t *testing.T) {
+	e := engine(3, 0)
+	runners := []*layout.Runner{runner("r1", "a", "m0"), runner("r2", "b", "m1"), runner("r3", "c", "m2")}
+	steps := layout.Models(e, runners, demand(map[string]float64{"m0": 50, "m1": 0.1}), 5)
+	require.Len(t, steps, 2)
+	for _, step := range steps {
+		require.Equal(t, "m0", step.Load)
+	}
+}
+
+// A few requests say too little to move models.
+func TestLittleDemandMovesNothing(t *testing.T) {
+	e := engine(3, 0)
+	runners := []*layout.Runner{runner("r1", "a", "m0"), runner("r2", "b", "m1"), runner("r3", "c", "m2")}
+	d := demand(map[string]float64{"m0": 50})
+	d.Requests["m0"] = 2
+	require.Empty(t, layout.Models(e, runners, d, 5))
+}
+
+func TestReplicaGoesWhereThereIsLeastWork(t *testing.T) {
+	e := engine(4, 0)
+	runners := []*layout.Runner{
+		runner("busy", "b", "m1"), runner("idle", "b", "m2"), runner("home", "a", "m0"), runner("other", "c", "m1"),
+	}
+	steps := layout.Models(e, runners, demand(map[string]float64{"m0": 50, "m1": 40, "m2": 1, "m3": 1}), 1)
+	require.Equal(t, "idle", steps[0].Runner)
+}
+
+func TestStoreLimitBoundsLoads(t *testing.T) {
+	e := engine(5, 0)
+	runners := []*layout.Runner{runner("r1", "a"), runner("r2", "a"), runner("r3", "a"), runner("r4", "a")}
+	runners[3].OnDisk = []string{"m4"}
+	steps := layout.Models(e, runners, demand(nil), 2)
+	fromStore := 0
+	for _, step := range steps {
+		if step.FromStore {
+			fromStore++
+		}
+	}
+	require.Equal(t, 2, fromStore)
+	require.Len(t, steps, 3)
+}
+
+// Whatever the state, a plan never orders more than fits, never touches busy or leaving runners, never takes a model's last
+// serving replica, and never exceeds the loads allowed.
+func TestPlansAreSafe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := engine(rapid.IntRange(1, 12).Draw(t, "models"), 0)
+		var runners []*layout.Runner
+		for i := range rapid.IntRange(1, 8).Draw(t, "runners") {
+			runners = append(runners, drawRunner(t, e, i))
+		}
+		work := make(map[string]float64)
+		for _, m := range e.Models {
+			work[m.Name] = rapid.Float64Range(0, 100).Draw(t, "work")
+		}
+		most := rapid.IntRange(0, 4).Draw(t, "most")
+		left := serving(runners)
+		stored := 0
+		for _, step := range layout.Models(e, runners, demand(work), most) {
+			r := find(runners, step.Runner)
+			require.False(t, r.Busy || r.Leaving)
+			used := 70.0
+			for m := range r.Models {
+				used += 70
+				for _, gone := range step.Unload {
+					if gone == m {
+						used -= 70
+						left[m]--
+					}
+				}
+			}
+			require.LessOrEqual(t, used, e.WeightsMB)
+			require.NotContains(t, r.Models, step.Load)
+			if step.FromStore {
+				stored++
+			}
+		}
+		require.LessOrEqual(t, stored, most)
+		for m, n := range serving(runners) {
+			if n > 0 {
+				require.Positive(t, left[m], m)
+			}
+		}
+	})
+}
+
+func drawRunner(t *rapid.T, e *catalog.Engine, i int) *layout.Runner {
+	r := runner(fmt.Sprintf("r%d", i), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"))
+	for range rapid.IntRange(0, 3).Draw(t, "held") {
+		r.Models[rapid.SampledFrom(e.Models).Draw(t, "model").Name] = nil
+	}
+	r.Busy = rapid.IntRange(0, 4).Draw(t, "busy") == 0
+	r.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+	if r.Busy {
+		r.Loading = rapid.SampledFrom(e.Models).Draw(t, "loading").Name
+	}
+	return r
+}
+
+// serving counts the replicas that serve.
+func serving(runners []*layout.Runner) map[string]int {
+	out := make(map[string]int)
+	for _, r := range runners {
+		for m := range r.Models {
+			if !r.Leaving {
+				out[m]++
+			}
+		}
+	}
+	return out
+}
+
+func find(runners []*layout.Runner, id string) *layout.Runner {
+	for _, r := range runners {
+		if r.ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func adapterDemand(rates map[string]float64) layout.Demand {
+	d := demand(map[string]float64{"m0": 10})
+	d.Adapters["m0"] = rates
+	return d
+}
+
+func TestWantedAdaptersArePlaced(t *testing.T) {
+	e := engine(1, 6)
+	runners := []*layout.Runner{runner("r1", "a", "m0"), runner("r2", "b", "m0")}
+	steps := layout.Adapters(e, runners, adapterDemand(map[string]float64{"a1": 5}))
+	placed := make(map[string]int)
+	for _, step := range steps {
+		for _, a := range step.Adapters {
+			require.False(t, a.Drop)
+			placed[a.Name]++
+		}
+	}
+	require.Len(t, placed, 6, "adapters of a model that is asked for by adapter all get a place")
+	require.Equal(t, 2, placed["a1"], "a wanted one also gets a second place in another failure domain")
+}
+
+func TestAdaptersStayWithinPlaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := engine(2, 20)
+		e.AdapterPlaces = rapid.IntRange(1, 8).Draw(t, "places")
+		rates := make(map[string]float64)
+		for i := range 20 {
+			if rapid.Bool().Draw(t, "asked") {
+				rates[fmt.Sprintf("a%d", i+1)] = rapid.Float64Range(0.01, 5).Draw(t, "rate")
+			}
+		}
+		r := runner("r1", "a", "m0", "m1")
+		for i := range rapid.IntRange(0, e.AdapterPlaces).Draw(t, "held") {
+			r.Models["m0"] = append(r.Models["m0"], fmt.Sprintf("a%d", 20-i))
+		}
+		held := len(r.Models["m0"])
+		for _, step := range layout.Adapters(e, []*layout.Runner{r}, adapterDemand(rates)) {
+			for _, a := range step.Adapters {
+				if a.Drop {
+					held--
+				} else {
+					held++
+				}
+				require.LessOrEqual(t, held, e.AdapterPlaces)
+			}
+		}
+	})
+}
+
+// Where places are few, an adapter that a caller waits for takes the place of any other that is not fresh.
+func TestMissingAdapterGetsItsTurn(t *testing.T) {
+	e := engine(1, 3)
+	e.AdapterPlaces = 1
+	r := runner("r1", "a", "m0")
+	r.Models["m0"] = []string{"a1"}
+	d := adapterDemand(map[string]float64{"a1": 5, "a2": 0.2})
+	require.Empty(t, layout.Adapters(e, []*layout.Runner{r}, d))
+	d.Missing = map[layout.Adapter]bool{{Model: "m0", Name: "a2"}: true}
+	steps := layout.Adapters(e, []*layout.Runner{r}, d)
+	require.Equal(t, []layout.Adapter{{Model: "m0", Name: "a1", Drop: true}, {Model: "m0", Name: "a2"}}, steps[0].Adapters)
+	r.Fresh = map[layout.Adapter]bool{{Model: "m0", Name: "a1"}: true}
+	require.Empty(t, layout.Adapters(e, []*layout.Runner{r}, d))
+}
+
+// A model asked for by more adapters than its runners have places for gets another replica.
+func TestAdapterPlacesCallForReplicas(t *testing.T) {
+	e := engine(2, 20)
+	e.AdapterPlaces = 4
+	runners := []*layout.Runner{runner("r1", "a", "m0"), runner("r2", "b", "m1"), runner("r3", "c", "m1")}
+	plain := demand(map[string]float64{"m0": 4, "m1": 100})
+	load := func(d layout.Demand) []string {
+		var out []string
+		for _, step := range layout.Models(e, runners, d, 9) {
+			out = append(out, step.Load)
+		}
+		return out
+	}
+	require.NotContains(t, load(plain), "m0")
+	rates := make(map[string]float64)
+	for i := range 20 {
+		rates[fmt.Sprintf("a%d", i+1)] = 4
+	}
+	plain.Adapters["m0"] = rates
+	require.Contains(t, load(plain), "m0")
+}
