--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -166,7 +166,10 @@
 		if pick.runner != nil || ctx.Err() != nil || !c.d.Clock.Now().Before(until) {
 			return pick
 		}
-		c.d.Clock.Sleep(holdPause)
+		select {
+		case <-ctx.Done():
+		case <-c.d.Clock.After(holdPause):
+		}
 	}
 }
 
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -125,7 +125,7 @@
 			return nil
 		case <-s.Clock.After(planInterval):
 		case <-s.wake:
-			s.Clock.Sleep(wakePause)
+			s.gather(ctx)
 		}
 		if fence, ok := s.Lease.Fence(); ok {
 			s.plan(ctx, fence)
@@ -133,6 +133,14 @@
 	}
 }
 
+// gather waits a moment for more that is missing.
+func (s *Steward) gather(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-s.Clock.After(wakePause):
+	}
+}
+
 func (s *Steward) plan(ctx context.Context, fence uint64) {
 	current := s.Catalog()
 	if current == nil {
