--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -20,7 +20,6 @@
 
 // load is what this VM knows of one runner's work.
 type load struct {
-	born int64
 	// own is this VM's requests at the runner, ownThen how many they were when the runner told its figures.
 	own     int
 	ownThen int
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -164,6 +164,12 @@
 	return nil
 }
 
+// CallerAddress returns where callers are answered.
+func (s *Server) CallerAddress() string { return s.callers.Addr().String() }
+
+// ReadyAddress returns where the balancer is answered.
+func (s *Server) ReadyAddress() string { return s.ready.Addr().String() }
+
 // Serve answers one request of a caller.
 func (s *Server) Serve(r *http.Request, request *dispatch.Request, caller dispatch.Caller) {
 	s.dispatcher.Serve(r.Context(), request, caller)
@@ -193,7 +199,7 @@
 	threads.Go(func() error { return serve(ready, s.ready) })
 	threads.Go(func() error { return serve(peers, s.peers) })
 	threads.Go(func() error { return serve(metrics, s.metrics) })
-	event.EntryStarted.Log(s.Logger, slog.String("Callers", s.callers.Addr().String()))
+	event.EntryStarted.Log(s.Logger, slog.String("Callers", s.CallerAddress()))
 	select {
 	case <-ctx.Done():
 	case <-control.Done():
