--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -150,8 +150,8 @@
 	}
 }
 
-// Announce tells every linked VM facts about runners.
-func (h *Host) Announce(facts []orders.Holding) { h.broadcast(frame{Holding: facts}) }
+// announce tells every linked VM facts about runners.
+func (h *Host) announce(facts []orders.Holding) { h.broadcast(frame{Holding: facts}) }
 
 // Forward tells every linked VM what was read of single registrations.
 func (h *Host) Forward(changes []roster.Change) { h.broadcast(frame{Changes: changes}) }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -143,7 +143,11 @@
 func TestFactsComeDown(t *testing.T) {
 	p := newPair(t)
 	require.Eventually(t, func() bool { return len(p.host.Members()) == 2 }, waitLimit, tick)
-	p.host.Announce([]orders.Holding{{Runner: "r1", Model: "m", Held: true}})
+	a := mesh.NewAnnouncer(p.host, clockwork.NewRealClock())
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = a.Run(ctx) }()
+	a.Announce([]orders.Holding{{Runner: "r1", Model: "m", Held: true}})
 	p.host.Forward([]roster.Change{{ID: "r2"}})
 	require.Eventually(t, p.other.check(func(l *local) bool { return len(l.facts) == 1 && len(l.changes) == 1 }), waitLimit, tick)
 	require.Eventually(t, func() bool { return len(p.spoke.Members()) == 2 }, waitLimit, tick)
--- a/internal/serving/local.go
+++ b/internal/serving/local.go
@@ -90,7 +90,7 @@
 // announce tells this VM and all others facts about runners.
 func (s *Server) announce(facts []orders.Holding) {
 	s.Learn(facts)
-	s.host.Announce(facts)
+	s.announcer.Announce(facts)
 }
 
 // Forward implements registry.Peers: the holder tells all other VMs what it read, so that they need to read less often.
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -49,6 +49,7 @@
 	tenure     *tenure.Tenure
 	steward    *orders.Steward
 	host       *mesh.Host
+	announcer  *mesh.Announcer
 	spoke      *mesh.Spoke
 	stopping   atomic.Bool
 	// settings is the newest usable settings; Settings is what the process started with.
@@ -117,6 +118,7 @@
 		OnResign:    func() { s.host.Pulse() },
 	}, s.Log, s.Clock, s.Boot, s.Logger)
 	s.host = mesh.NewHost(self, s, s.Clock)
+	s.announcer = mesh.NewAnnouncer(s.host, s.Clock)
 	s.spoke = mesh.NewSpoke(self, s, s.Clock, s.Logger)
 	s.steward = orders.New(orders.Dependencies{
 		Holder:   vm.Name,
--- a/internal/serving/threads.go
+++ b/internal/serving/threads.go
@@ -26,6 +26,7 @@
 		s.tenure.Run,
 		s.steward.Run,
 		s.spoke.Run,
+		s.announcer.Run,
 		s.housekeep,
 		s.watchSettings,
 	}
