--- a/internal/settings/serving.go
+++ b/internal/settings/serving.go
@@ -44,15 +44,9 @@
 	StopTimeout time.Duration
 }
 
-// ServingControl sets leases and loads.
+// ServingControl sets the lease for orders.
 type ServingControl struct {
 	LeaseTerm time.Duration
-	// FencingEnforced tells that runners refuse orders with an old fencing number.
-	FencingEnforced bool
-	// LoadWindow is the time over which loads from the weight store are counted, LoadOverage by how much more than the
-	// store's rate they may be.
-	LoadWindow  time.Duration
-	LoadOverage float64
 }
 
 // ReadServing returns the settings in a file; it fails like Read.
@@ -192,29 +186,5 @@
 			meaning: "How long the lease for orders holds without renewal.",
 			set:     duration(func(s *Serving) *time.Duration { return &s.Control.LeaseTerm }, time.Second, 10*time.Minute),
 		},
-		{
-			section: "Control",
-			name:    "FencingEnforced",
-			example: "true",
-			allowed: "true or false",
-			meaning: "Whether runners refuse orders with an old fencing number.",
-			set:     truth(func(s *Serving) *bool { return &s.Control.FencingEnforced }),
-		},
-		{
-			section: "Control",
-			name:    "LoadWindow",
-			example: "5s",
-			allowed: between("1s", "10m"),
-			meaning: "The time over which loads from the weight store are counted.",
-			set:     duration(func(s *Serving) *time.Duration { return &s.Control.LoadWindow }, time.Second, 10*time.Minute),
-		},
-		{
-			section: "Control",
-			name:    "LoadOverage",
-			example: "1.1",
-			allowed: between(1, 10),
-			meaning: "By what factor loads may exceed the weight store's rate in one window.",
-			set:     fraction(func(s *Serving) *float64 { return &s.Control.LoadOverage }, 1, 10),
-		},
 	}
 }
--- a/pkg/cmd/settings/example/example.go
+++ b/pkg/cmd/settings/example/example.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 
 	"github.com/cowsliparch/cowsliparch/internal/settings"
@@ -12,6 +13,8 @@
 // Options is what the command works with.
 type Options struct {
 	IO *iostreams.IOStreams
+	// For is the command whose settings are written.
+	For string
 }
 
 // NewCommand returns the command; run replaces its work in tests.
@@ -25,7 +28,8 @@
 	return &cmdutil.Command{
 		Use:     "example",
 		Short:   "Write a commented settings file that passes the check",
-		Example: "  $ cowsliparch settings example > entry.ini",
+		Example: "  $ cowsliparch settings example > entry.ini\n  $ cowsliparch settings example -for serve > serve.ini",
+		Flags:   func(flags *flag.FlagSet) { cmdutil.DeclareFor(flags, &opts.For) },
 		Run: func(context.Context, []string) error {
 			return run(opts)
 		},
@@ -33,6 +37,10 @@
 }
 
 func exampleRun(opts *Options) error {
-	_, err := fmt.Fprint(opts.IO.Out, settings.Example())
+	text := settings.Example()
+	if opts.For == cmdutil.ForServe {
+		text = settings.ServingExample()
+	}
+	_, err := fmt.Fprint(opts.IO.Out, text)
 	return err
 }
