Count what was ordered, not what lagging reports and registrations show

Cause: the account of a runner went back to its registration after three seconds, which stands still while the store can't be read; and a count read anew took models from a report that lags, without the adapters on their way. Ruled out: the planner (TestPlansAreSafe). Not reproduced with logs; a stand-in whose reports lag overcommits in the same way (TestLoadsStayWithinTheRate, TestPlacesHoldOverTakeovers) and no longer does.

--- a/internal/orders/book.go
+++ b/internal/orders/book.go
@@ -11,9 +11,6 @@
 // freshTime is for how long an adapter stays for who asked for it; a refused caller comes back within about half a second.
 const freshTime = time.Second
 
-// believed is for how long the outcome of own orders goes before the runner's registration, which lags.
-const believed = 3 * time.Second
-
 // book is what the holder knows of one runner.
 type book struct {
 	runner *roster.Runner
@@ -46,24 +43,19 @@
 	return fresh
 }
 
-// follow takes in the runner's registration.
-func (b *book) follow(r *roster.Runner, now time.Time) {
+// follow takes in the runner's registration. Once the count of orders is known, the own account of what the runner holds goes
+// before it: registrations lag, and stand still while the store can't be read.
+func (b *book) follow(r *roster.Runner) {
 	if b.runner == nil || b.runner.Born != r.Born {
 		*b = book{busy: b.busy && b.runner != nil && b.runner.Born == r.Born}
 	}
 	b.runner = r
-	if b.busy || now.Before(b.until) {
+	if b.busy || b.known {
 		return
 	}
 	b.models = byModel(r.Models)
 }
 
-// settle takes in what a report or an order showed.
-func (b *book) settle(models map[string][]string, now time.Time) {
-	b.models = models
-	b.until = now.Add(believed)
-}
-
 // bring notes that adapters came.
 func (b *book) bring(adapters []layout.Adapter, now time.Time) {
 	if b.brought == nil {
--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -72,26 +73,33 @@
 	}
 }
 
-// sync reads the runner's count of orders and its models.
+// sync reads the runner's count of orders and its models. It first waits until a report shows what was ordered before, by
+// this holder or by a former one.
 func (e *execution) sync(ctx context.Context) bool {
 	for range orderTries {
+		if !e.sleep(ctx, lagPause) {
+			return false
+		}
 		state, err := e.report(ctx)
 		if err == nil && !state.Busy {
 			e.take(state)
 			return true
 		}
-		if !e.sleep(ctx, lagPause) {
-			return false
-		}
 	}
 	return false
 }
 
+// take believes a report; adapters on their way have their places already.
 func (e *execution) take(state State) {
 	e.orders = state.Orders
 	e.known = true
 	e.models = byModel(state.Models)
 	e.changed = true
+	for _, a := range state.Coming {
+		if adapters, held := e.models[a.Model]; held && !slices.Contains(adapters, a.Name) {
+			e.setAdapters(a.Model, append(slices.Clone(adapters), a.Name))
+		}
+	}
 }
 
 func (e *execution) report(ctx context.Context) (State, error) {
@@ -108,10 +116,14 @@
 	if !e.sleep(ctx, noticeTime) || !e.send(ctx, Order{Unload: true, Model: model}) {
 		return false
 	}
-	return e.await(ctx, patience, func(models map[string][]string) bool {
+	done := e.await(ctx, patience, func(models map[string][]string) bool {
 		_, held := models[model]
 		return !held
 	})
+	if done {
+		e.setModel(model, false)
+	}
+	return done
 }
 
 func (e *execution) load(ctx context.Context) bool {
@@ -133,8 +145,10 @@
 	})
 	if !done {
 		e.announce(model.Name, "", false)
+		return false
 	}
-	return done
+	e.setModel(model.Name, true)
+	return true
 }
 
 // fits checks the room once more against what the runner last said.
@@ -167,14 +181,12 @@
 	for e.steward.Clock.Now().Before(until) {
 		state, err := e.report(ctx)
 		if err == nil && !state.Busy && state.Orders >= e.orders {
-			models := byModel(state.Models)
-			e.models, e.changed = models, true
-			if holds(models) {
+			if holds(byModel(state.Models)) {
 				return true
 			}
-			// The order was lost after all, or another one undid it.
 			if state.Orders > e.orders {
-				e.orders = state.Orders
+				// Another holder's order came between.
+				e.known = false
 				return false
 			}
 		}
@@ -217,12 +229,19 @@
 }
 
 func (e *execution) setAdapters(model string, adapters []string) {
-	models := make(map[string][]string, len(e.models))
-	for name, list := range e.models {
-		models[name] = list
+	e.models = maps.Clone(e.models)
+	e.models[model] = adapters
+	e.changed = true
+}
+
+// setModel accounts for an order that a report has confirmed. Adapters are counted by what was ordered, as reports lag.
+func (e *execution) setModel(model string, held bool) {
+	e.models = maps.Clone(e.models)
+	if held {
+		e.models[model] = nil
+	} else {
+		delete(e.models, model)
 	}
-	models[model] = adapters
-	e.models = models
 	e.changed = true
 }
 
@@ -295,7 +314,7 @@
 // resync reads the runner's state after a conflict; the step goes on only if the order turns out to be carried out.
 func (e *execution) resync(ctx context.Context, o Order) bool {
 	e.known = false
-	if !e.sleep(ctx, lagPause) || !e.sync(ctx) {
+	if !e.sync(ctx) {
 		return false
 	}
 	adapters, held := e.models[o.Model]
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/cowsliparch/cowsliparch/internal/layout"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -43,8 +44,8 @@
 	Busy bool
 	// Orders is how many orders the runner has accepted.
 	Orders uint64
-	// Coming names adapters on their way, as MODEL/NAME.
-	Coming []string
+	// Coming is the adapters on their way, which have their places already and are not yet listed with their models.
+	Coming []layout.Adapter
 }
 
 // Client speaks to runners; it fails like dispatch.Sender.
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -207,7 +207,7 @@
 			b = &book{}
 			s.books[r.ID] = b
 		}
-		b.follow(r, now)
+		b.follow(r)
 		runner := b.view(now)
 		runner.Busy = runner.Busy || now.Before(b.rest)
 		runners = append(runners, runner)
@@ -293,7 +293,7 @@
 	b.loading, b.unloading = "", nil
 	b.orders, b.known = e.orders, e.known
 	if e.changed {
-		b.settle(e.models, s.Clock.Now())
+		b.models = e.models
 	}
 	b.bring(e.brought, s.Clock.Now())
 	s.poke()
--- a/internal/orders/steward_test.go
+++ b/internal/orders/steward_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/layout"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -54,10 +55,24 @@
 	orders uint64
 	fence  uint64
 	busy   time.Time
+	// past is what reports show until it is old enough.
+	past []shown
 	// broken is set when the runner was ordered beyond its memory or places.
 	broken string
 }
 
+// shown is what a report shows from a time on.
+type shown struct {
+	from  time.Time
+	state orders.State
+}
+
+// reportLag is how old what reports show is.
+const reportLag = 200 * time.Millisecond
+
+// adapterTime is how long an adapter is on its way.
+const adapterTime = 10 * time.Millisecond
+
 // runners is a stand-in of all runners.
 type runners struct {
 	clock clockwork.Clock
@@ -102,6 +117,8 @@
 		return orders.Misdirected
 	}
 	e.orders++
+	before := e.state(r.clock.Now())
+	defer func() { e.remember(r.clock.Now(), before, o) }()
 	switch {
 	case o.Adapter != "" && o.Unload:
 		e.models[o.Model] = slices.DeleteFunc(slices.Clone(adapters), func(a string) bool { return a == o.Adapter })
@@ -132,14 +149,39 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.byID[to.ID]
-	state := orders.State{
-		Orders: e.orders,
-		Busy:   r.clock.Now().Before(e.busy),
+	state := e.state(r.clock.Now())
+	for _, s := range e.past {
+		if !s.from.After(r.clock.Now().Add(-reportLag)) {
+			state = s.state
+		}
 	}
+	// The count of orders is always the present one; what the runner holds lags.
+	state.Orders = e.orders
+	state.Busy = r.clock.Now().Before(e.busy)
+	return state, nil
+}
+
+// state returns what the runner holds now.
+func (e *engine) state(time.Time) orders.State {
+	var state orders.State
 	for model, adapters := range e.models {
 		state.Models = append(state.Models, roster.Holding{Model: model, Adapters: slices.Clone(adapters)})
 	}
-	return state, nil
+	return state
+}
+
+// remember keeps what reports show before and after an order; a new adapter is first on its way.
+func (e *engine) remember(now time.Time, before orders.State, o orders.Order) {
+	if len(e.past) == 0 {
+		e.past = append(e.past, shown{state: before})
+	}
+	after := e.state(now)
+	if o.Adapter != "" && !o.Unload {
+		before.Coming = []layout.Adapter{{Model: o.Model, Name: o.Adapter}}
+		e.past = append(e.past, shown{from: now, state: before})
+		now = now.Add(adapterTime)
+	}
+	e.past = append(e.past, shown{from: now, state: after})
 }
 
 func (r *runners) has(id, model, adapter string) bool {
@@ -382,3 +424,18 @@
 		require.LessOrEqual(t, float64(n), rate*window*overage+3)
 	}
 }
+
+// A new holder, and one whose count is unknown, must not fill places that a lagging report shows as free.
+func TestPlacesHoldOverTakeovers(t *testing.T) {
+	w := newWorld(t, 1, []string{"m0"})
+	n := 0
+	w.runners.lose = func(int) (bool, bool) { n++; return n%4 == 0, n%8 == 0 }
+	w.run(t)
+	for round := range 12 {
+		for i := range 8 {
+			w.steward.Missing("s", "m0", fmt.Sprintf("a%d", i+1))
+		}
+		w.pass(25, nil)
+		w.lease.set(uint64(6 + round))
+	}
+}
