--- a/internal/layout/adapters.go
+++ b/internal/layout/adapters.go
@@ -22,11 +22,12 @@
 type adapterPlan struct {
 	engine *catalog.Engine
 	demand Demand
-	// runners are those that can take adapters now; all is every runner that counts.
-	runners []*Runner
-	all     []*Runner
-	free    map[string]int
-	copies  map[Adapter]int
+	// takers are the runners that have each model and can take adapters now.
+	takers map[string][]*Runner
+	free   map[string]int
+	copies map[Adapter]int
+	// domains is the failure domains that have each adapter.
+	domains map[Adapter]map[string]bool
 	steps   map[string]*Step
 }
 
@@ -39,21 +40,21 @@
 // Adapters returns steps that bring adapters to runners that have their model.
 func Adapters(engine *catalog.Engine, runners []*Runner, demand Demand) []Step {
 	p := &adapterPlan{
-		engine: engine,
-		demand: demand,
-		free:   make(map[string]int),
-		copies: make(map[Adapter]int),
-		steps:  make(map[string]*Step),
+		engine:  engine,
+		demand:  demand,
+		takers:  make(map[string][]*Runner),
+		free:    make(map[string]int),
+		copies:  make(map[Adapter]int),
+		domains: make(map[Adapter]map[string]bool),
+		steps:   make(map[string]*Step),
 	}
 	for _, r := range runners {
 		if r.Leaving {
 			continue
 		}
-		p.all = append(p.all, r)
 		p.count(r)
 		if !r.Busy {
-			p.runners = append(p.runners, r)
-			p.free[r.ID] = engine.AdapterPlaces - r.adapters()
+			p.offer(r)
 		}
 	}
 	wishes := p.wishes()
@@ -79,7 +80,25 @@
 func (p *adapterPlan) count(r *Runner) {
 	for model, adapters := range r.Models {
 		for _, name := range adapters {
-			p.copies[Adapter{Model: model, Name: name}]++
+			a := Adapter{
+				Model: model,
+				Name:  name,
+			}
+			p.copies[a]++
+			if p.domains[a] == nil {
+				p.domains[a] = make(map[string]bool)
+			}
+			p.domains[a][r.FailureDomain] = true
+		}
+	}
+}
+
+// offer notes a runner's free places.
+func (p *adapterPlan) offer(r *Runner) {
+	p.free[r.ID] = p.engine.AdapterPlaces - r.adapters()
+	for model := range r.Models {
+		if r.serves(model) {
+			p.takers[model] = append(p.takers[model], r)
 		}
 	}
 }
@@ -132,9 +151,14 @@
 		p.steps[r.ID] = step
 	}
 	step.Adapters = append(step.Adapters, a)
-	if !a.Drop {
-		p.copies[a]++
+	if a.Drop {
+		return
+	}
+	p.copies[a]++
+	if p.domains[a] == nil {
+		p.domains[a] = make(map[string]bool)
 	}
+	p.domains[a][r.FailureDomain] = true
 }
 
 // roomiest returns the runner with the most free places that has the model and lacks the adapter, in a failure domain
@@ -142,12 +166,12 @@
 func (p *adapterPlan) roomiest(a Adapter) *Runner {
 	var best *Runner
 	bestScore := 0
-	for _, r := range p.runners {
-		if !p.takes(r, a) || p.free[r.ID] <= 0 {
+	for _, r := range p.takers[a.Model] {
+		if p.free[r.ID] <= 0 || !p.takes(r, a) {
 			continue
 		}
 		score := p.free[r.ID]
-		if !p.inDomain(r.FailureDomain, a) {
+		if !p.domains[a][r.FailureDomain] {
 			score += p.engine.AdapterPlaces
 		}
 		if score > bestScore {
@@ -157,19 +181,9 @@
 	return best
 }
 
-func (p *adapterPlan) inDomain(domain string, a Adapter) bool {
-	for _, r := range p.all {
-		if r.FailureDomain == domain && slices.Contains(r.Models[a.Model], a.Name) {
-			return true
-		}
-	}
-	return false
-}
-
 // takes reports whether a runner can be given the adapter in this plan.
 func (p *adapterPlan) takes(r *Runner, a Adapter) bool {
-	adapters := r.Models[a.Model]
-	if !r.serves(a.Model) || slices.Contains(adapters, a.Name) {
+	if slices.Contains(r.Models[a.Model], a.Name) {
 		return false
 	}
 	step := p.steps[r.ID]
@@ -185,7 +199,7 @@
 	if p.demand.Missing[w.adapter] {
 		least = math.Inf(1)
 	}
-	for _, r := range p.runners {
+	for _, r := range p.takers[w.adapter.Model] {
 		if !p.takes(r, w.adapter) {
 			continue
 		}
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -30,6 +30,10 @@
 	replicas map[string]int
 	present  map[string]int
 	taken    map[string]bool
+	// weights is the memory of each model, largest that of the largest, reserve that kept for adapters.
+	weights map[string]float64
+	largest float64
+	reserve float64
 }
 
 // Models returns steps that load models, the most urgent first; most bounds the loads from the weight store.
@@ -42,6 +46,7 @@
 		present:  replicas(runners, (*Runner).serves),
 		taken:    make(map[string]bool),
 	}
+	p.measure()
 	var steps []Step
 	for {
 		step, ok := p.next(most > 0)
@@ -189,7 +194,7 @@
 
 // room returns which models must leave a runner for another to fit, and what they are worth.
 func (p *plan) room(r *Runner, model catalog.Model) ([]string, float64, bool) {
-	free := p.engine.WeightsMB - p.used(r) - model.WeightsMB - p.adapterReserve()
+	free := p.engine.WeightsMB - p.used(r) - model.WeightsMB - p.reserve
 	var victims []string
 	cost := 0.0
 	for free < 0 {
@@ -197,8 +202,7 @@
 		if victim == "" {
 			return nil, 0, false
 		}
-		m, _ := p.engine.Model(victim)
-		free += m.WeightsMB
+		free += p.weight(victim)
 		cost += worth
 		victims = append(victims, victim)
 	}
@@ -220,33 +224,31 @@
 func (p *plan) used(r *Runner) float64 {
 	sum := 0.0
 	for model := range r.Models {
-		m, ok := p.engine.Model(model)
-		if !ok {
-			// A model that the configuration no longer lists still takes its place.
-			m.WeightsMB = p.largest()
-		}
-		sum += m.WeightsMB
+		sum += p.weight(model)
 	}
 	return sum
 }
 
-func (p *plan) largest() float64 {
-	most := 0.0
+// measure works out what depends on the configuration only.
+func (p *plan) measure() {
+	p.weights = make(map[string]float64, len(p.engine.Models))
+	adapter := 0.0
 	for _, m := range p.engine.Models {
-		most = max(most, m.WeightsMB)
+		p.weights[m.Name] = m.WeightsMB
+		p.largest = max(p.largest, m.WeightsMB)
+		if m.Adapters > 0 {
+			adapter = max(adapter, m.AdapterMB)
+		}
 	}
-	return most
+	p.reserve = adapter * float64(p.engine.AdapterPlaces)
 }
 
-// adapterReserve is the memory kept for every adapter place at its largest.
-func (p *plan) adapterReserve() float64 {
-	most := 0.0
-	for _, m := range p.engine.Models {
-		if m.Adapters > 0 {
-			most = max(most, m.AdapterMB)
-		}
+// weight returns the memory of a model; one that the configuration no longer lists still takes its place.
+func (p *plan) weight(model string) float64 {
+	if mb, ok := p.weights[model]; ok {
+		return mb
 	}
-	return most * float64(p.engine.AdapterPlaces)
+	return p.largest
 }
 
 func contains(list []string, name string) bool {
