Split what grew, pass the clock on, and let a restarted runner begin anew

Cause: a step that outlasted its runner's restart wrote its account of the former run into the new one's book.

--- a/internal/orders/book.go
+++ b/internal/orders/book.go
@@ -18,9 +18,7 @@
 	orders uint64
 	known  bool
 	models map[string][]string
-	// until is how long models goes before the registration.
-	until time.Time
-	busy  bool
+	busy   bool
 	// loading and unloading are the models of the step under way.
 	loading   string
 	unloading []string
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -285,7 +285,12 @@
 			s.credit[e.service.Name]++
 		}
 	}
+	s.poke()
 	b := e.book
+	if b.runner.Born != e.runner.Born {
+		// The runner started again meanwhile: what the step knows is of its former run.
+		return
+	}
 	if !e.changed {
 		b.rest = s.Clock.Now().Add(restTime)
 	}
@@ -296,5 +301,4 @@
 		b.models = e.models
 	}
 	b.bring(e.brought, s.Clock.Now())
-	s.poke()
 }
--- a/internal/orders/steward_test.go
+++ b/internal/orders/steward_test.go
@@ -439,3 +439,27 @@
 		w.lease.set(uint64(6 + round))
 	}
 }
+
+// A runner that starts again during a step holds and counts nothing of before.
+func TestRestartDuringAStep(t *testing.T) {
+	w := newWorld(t, 3, []string{"m0", "m1"})
+	w.run(t)
+	w.until(t, nil, func() bool {
+		w.runners.mu.Lock()
+		defer w.runners.mu.Unlock()
+		return w.runners.byID["r0"].orders > 0
+	})
+	w.runners.mu.Lock()
+	w.runners.byID["r0"] = &engine{models: make(map[string][]string)}
+	w.runners.mu.Unlock()
+	w.roster.Apply([]roster.Change{{ID: "r0", Runner: &roster.Runner{
+		ID:            "r0",
+		Service:       "s",
+		FailureDomain: "r0",
+		Born:          2,
+		Heartbeat:     1,
+	}}}, w.clock.Now())
+	w.until(t, nil, func() bool {
+		return w.runners.has("r0", "m0", "") && w.runners.has("r0", "m1", "") && w.runners.has("r0", "m2", "")
+	})
+}
--- /dev/null
+++ b/internal/registry/runners.go
@@ -0,0 +1,155 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+// RunRunners follows the registrations until the context ends.
+func (w *Watcher) RunRunners(ctx context.Context) error {
+	var next logservice.Offset
+	known := false
+	retry := w.newBackoff()
+	for ctx.Err() == nil {
+		read, err := w.readRunners(ctx, known, next)
+		var expired *logservice.ExpiredError
+		if errors.As(err, &expired) {
+			known = false
+			continue
+		}
+		if err != nil {
+			retry.failed(ctx, err)
+			if retry.failures >= outageAfter {
+				w.outage(true)
+			}
+			continue
+		}
+		retry.succeeded()
+		w.outage(false)
+		w.logSkipped(read.Skipped)
+		w.take(read, known)
+		known, next = true, read.Next
+		w.sleep(ctx, w.pause())
+	}
+	return nil
+}
+
+// pause returns the pause until the next read of the registrations.
+func (w *Watcher) pause() time.Duration {
+	if w.settled.Load() && w.peers.Linked() {
+		return linkedPause
+	}
+	return runnersPause
+}
+
+func (w *Watcher) outage(out bool) {
+	w.out.Store(out)
+	w.roster.Outage(out, w.clock.Now())
+}
+
+func (w *Watcher) readRunners(ctx context.Context, known bool, next logservice.Offset) (Runners, error) {
+	if !known {
+		return w.source.Runners(ctx)
+	}
+	return w.source.RunnersAfter(ctx, next, 0)
+}
+
+func (w *Watcher) take(read Runners, known bool) {
+	now := w.clock.Now()
+	var updates []roster.Update
+	if known {
+		updates = w.roster.Apply(read.Changes, now)
+	} else {
+		updates = w.roster.Replace(registered(read.Changes), now)
+	}
+	updates = append(updates, w.roster.Expire(now)...)
+	w.noted(updates)
+	w.forward(updates)
+	w.runnersRead.Store(true)
+	w.settle(now)
+}
+
+// forward hands on what changed, if this VM reads for the others.
+func (w *Watcher) forward(updates []roster.Update) {
+	if len(updates) == 0 {
+		return
+	}
+	changes := make([]roster.Change, 0, len(updates))
+	for _, u := range updates {
+		changes = append(changes, roster.Change{
+			ID:     u.ID,
+			Runner: u.After,
+		})
+	}
+	w.peers.Forward(changes)
+}
+
+// TakeChanges takes in what the holder read of single registrations.
+func (w *Watcher) TakeChanges(changes []roster.Change) {
+	w.noted(w.roster.Apply(changes, w.clock.Now()))
+}
+
+// settle notes when the list of runners, however it was learned, no longer grows for the first time.
+func (w *Watcher) settle(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.newest.IsZero() && (!w.first || now.Sub(w.newest) >= settleTime) {
+		w.settled.Store(true)
+	}
+}
+
+// noteNew remembers when a runner was last seen for the first time.
+func (w *Watcher) noteNew(updates []roster.Update) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, u := range updates {
+		if u.Before == nil {
+			w.newest = w.clock.Now()
+		}
+	}
+}
+
+func registered(changes []roster.Change) []*roster.Runner {
+	var out []*roster.Runner
+	for _, change := range changes {
+		if change.Runner != nil {
+			out = append(out, change.Runner)
+		}
+	}
+	return out
+}
+
+// noted logs what changed.
+func (w *Watcher) noted(updates []roster.Update) {
+	w.noteNew(updates)
+	for _, u := range updates {
+		switch {
+		case u.After == nil:
+			event.RunnerRemoved.Log(w.logger, slog.String("Runner", u.ID))
+		case u.Before == nil || u.Before.Born != u.After.Born:
+			event.RunnerRegistered.Log(w.logger, slog.String("Runner", u.ID), slog.String("Service", u.After.Service),
+				slog.String("Address", u.After.Address), slog.Int64("Born", u.After.Born), slog.Any("Models", u.After.Models))
+		default:
+			event.RunnerChanged.Log(w.logger, slog.String("Runner", u.ID), slog.Bool("Draining", u.After.Draining),
+				slog.Duration("Remaining", u.After.Remaining), slog.Uint64("Heartbeat", u.After.Heartbeat), slog.Any("Models", u.After.Models))
+		}
+	}
+}
+
+// TakeRunners takes in the registrations that another VM knows, while the store can't be read here.
+func (w *Watcher) TakeRunners(runners []roster.Runner) {
+	if !w.Out() {
+		return
+	}
+	listed := make([]*roster.Runner, 0, len(runners))
+	for i := range runners {
+		listed = append(listed, &runners[i])
+	}
+	w.noted(w.roster.Adopt(listed, w.clock.Now()))
+}
