Return the state in which an appended record is folded

Ruled out: the load itself, the test runs on virtual time. TestWaitReturnsTheStateThatWasWaitedFor fails without the change.

--- a/internal/fold/tail.go
+++ b/internal/fold/tail.go
@@ -147,7 +147,8 @@
 		return state, 0, &UnknownYetError{ID: id, Cause: err}
 	}
 	offset, _ := t.Seen(id)
-	return state, offset, nil
+	// The condition may have looked at a newer cursor than the state that it was given.
+	return t.State(), offset, nil
 }
 
 func (t *Tail[S]) handle(msg *message.Message) error {
