--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -28,8 +28,6 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if it isn't known.
 	Length int64
-	// Signed tells that the answer is the runner's own.
-	Signed bool
 	// NotRun tells that the runner says that it did not and will not run the request.
 	NotRun bool
 	// Misdirected tells that the runner is another one, or lacks the model.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/roster"
@@ -59,7 +60,7 @@
 			continue
 		}
 		holders++
-		if runner.Draining || contains(w.tried, runner.ID) || (!all && l != nil && l.avoided(now)) {
+		if runner.Draining || slices.Contains(w.tried, runner.ID) || (!all && l != nil && l.avoided(now)) {
 			continue
 		}
 		ready++
@@ -105,12 +106,3 @@
 	}
 	return score + time.Duration(l.failing(now)*float64(failureCost))
 }
-
-func contains(list []string, id string) bool {
-	for _, other := range list {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -70,7 +70,7 @@
 	if refused != nil {
 		c.refuse(refused)
 	}
-	c.record(ctx)
+	c.record()
 }
 
 // admit finds the route and the service of the request.
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 
@@ -21,7 +20,7 @@
 }
 
 // record logs and counts how the request ended.
-func (c *call) record(context.Context) {
+func (c *call) record() {
 	now := c.d.Clock.Now()
 	attrs := []slog.Attr{
 		slog.String("Request", c.request.ID),
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 )
@@ -171,7 +172,7 @@
 func (p *plan) load(r *Runner, without []string) float64 {
 	sum := 0.0
 	for model := range r.Models {
-		if !contains(without, model) {
+		if !slices.Contains(without, model) {
 			sum += p.demand.Work[model] / float64(max(p.replicas[model], 1))
 		}
 	}
@@ -213,7 +214,7 @@
 func (p *plan) cheapest(r *Runner, without []string) (string, float64) {
 	name, least := "", lastReplica
 	for model := range r.Models {
-		if worth := p.value(model, p.present[model]); worth < least && !contains(without, model) {
+		if worth := p.value(model, p.present[model]); worth < least && !slices.Contains(without, model) {
 			name, least = model, worth
 		}
 	}
@@ -250,12 +251,3 @@
 	}
 	return p.largest
 }
-
-func contains(list []string, name string) bool {
-	for _, other := range list {
-		if other == name {
-			return true
-		}
-	}
-	return false
-}
