--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,54 @@
+package catalog
+
+import "strings"
+
+// Catalog is one version of the operators' configuration; it is never changed after it is made.
+type Catalog struct {
+	Version  uint64
+	Limits   Limits
+	routes   []Route
+	hosts    map[string][]*Route
+	services map[string]Service
+}
+
+// New returns a catalog of a version.
+func New(version uint64, limits Limits, routes []Route, services []Service) *Catalog {
+	c := &Catalog{
+		Version:  version,
+		Limits:   limits,
+		routes:   routes,
+		hosts:    make(map[string][]*Route),
+		services: make(map[string]Service, len(services)),
+	}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		c.hosts[host] = append(c.hosts[host], &routes[i])
+	}
+	for _, service := range services {
+		c.services[service.Name] = service
+	}
+	return c
+}
+
+// Match returns the route of the host with the longest prefix that begins the path.
+func (c *Catalog) Match(host, path string) (*Route, bool) {
+	var best *Route
+	for _, route := range c.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) && (best == nil || len(route.PathPrefix) > len(best.PathPrefix)) {
+			best = route
+		}
+	}
+	return best, best != nil
+}
+
+// Service returns the service of a name.
+func (c *Catalog) Service(name string) (Service, bool) {
+	service, ok := c.services[name]
+	return service, ok
+}
+
+// Services returns every service by name.
+func (c *Catalog) Services() map[string]Service { return c.services }
+
+// Routes returns every route.
+func (c *Catalog) Routes() []Route { return c.routes }
--- /dev/null
+++ b/internal/catalog/inforce.go
@@ -0,0 +1,52 @@
+package catalog
+
+import "sync"
+
+// InForce keeps the newest catalog that the process has seen; it only ever rises.
+type InForce struct {
+	mu      sync.Mutex
+	current *Catalog
+	changed chan struct{}
+}
+
+// NewInForce returns a holder without a catalog.
+func NewInForce() *InForce {
+	return &InForce{
+		changed: make(chan struct{}),
+	}
+}
+
+// Current returns the catalog in force, or nil before the first.
+func (f *InForce) Current() *Catalog {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current
+}
+
+// Version returns the version in force, or 0 before the first.
+func (f *InForce) Version() uint64 {
+	if c := f.Current(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// Adopt puts a catalog in force if it is newer and reports whether it was.
+func (f *InForce) Adopt(c *Catalog) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current != nil && c.Version <= f.current.Version {
+		return false
+	}
+	f.current = c
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return true
+}
+
+// Changed returns a channel that is closed when the next catalog comes in force.
+func (f *InForce) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/outbound"
+	"github.com/cowsliparch/cowsliparch/internal/refusal"
+)
+
+const (
+	// maxWholeBytes bounds an answer that is read whole before any of it is passed on.
+	maxWholeBytes = 1 << 20
+	// headStall is how many objectives a runner may be silent before the request goes elsewhere, where it may.
+	headStall = 2
+	// leastStall is the least time for which a runner's silence is borne.
+	leastStall = 400 * time.Millisecond
+	// absentFor is how long a runner's word that it lacks a model is believed.
+	absentFor = time.Second
+)
+
+// attempt sends the request to one runner and passes the answer on. It reports whether the request should go to another
+// runner; the refusal is what to tell the caller if not.
+func (c *call) attempt(ctx context.Context, pick choice) (bool, *refusal.Refusal) {
+	c.pick = pick
+	c.runner = pick.runner.ID
+	c.tried = append(c.tried, pick.runner.ID)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	sent := c.d.Clock.Now()
+	c.d.Tracker.sent(pick.runner, sent)
+	defer func() { c.d.Tracker.ended(pick.runner, c.d.Clock.Now().Sub(sent)) }()
+	stall := c.watchSilence(cancel)
+	answer, err := c.d.Sender.Send(ctx, pick.runner, c.request, c.try(pick.runner))
+	stall.Stop()
+	if err != nil {
+		return c.unanswered(ctx, pick, err)
+	}
+	defer answer.Close()
+	c.sends++
+	if answer.Load != nil {
+		c.d.Tracker.told(pick.runner, *answer.Load, c.d.Clock.Now())
+	}
+	if answer.NotRun || answer.Misdirected {
+		return c.declined(pick, answer)
+	}
+	c.mayHaveRun = true
+	if answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
+		return c.relay(ctx, pick, answer)
+	}
+	return c.runnerFailed(ctx, pick, answer)
+}
+
+// watchSilence ends a send whose runner stays silent while the request may go to another one.
+func (c *call) watchSilence(cancel context.CancelCauseFunc) interface{ Stop() bool } {
+	wait := max(headStall*c.route.Objective, leastStall)
+	return c.d.Clock.AfterFunc(wait, func() {
+		if c.route.Idempotent() && c.hasAlternative() {
+			cancel(errStalled)
+		}
+	})
+}
+
+// unanswered handles a send without an answer.
+func (c *call) unanswered(ctx context.Context, pick choice, err error) (bool, *refusal.Refusal) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
+		c.mayHaveRun = true
+		return false, nil
+	}
+	c.sendFailed(pick, err)
+	var full *outbound.CapError
+	if errors.As(err, &full) {
+		return true, nil
+	}
+	c.d.Tracker.judged(pick.runner, false, c.d.Clock.Now())
+	var unsent *endpoint.UnsentError
+	if errors.As(err, &unsent) {
+		return true, nil
+	}
+	c.sends++
+	c.mayHaveRun = true
+	if c.route.Idempotent() && c.mayTryAgain() {
+		return true, nil
+	}
+	return false, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "the runner did not answer").WithRan(refusal.Unknown)
+}
+
+// declined handles a runner's word that it did not run the request.
+func (c *call) declined(pick choice, answer *Answer) (bool, *refusal.Refusal) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxWholeBytes))
+	c.sendFailed(pick, &DeclinedError{Status: answer.Status})
+	if answer.Misdirected && c.request.Model != "" {
+		c.d.Tracker.Learn(pick.runner.ID, c.request.Model, c.request.Adapter, false, c.d.Clock.Now(), absentFor)
+	} else {
+		c.d.Tracker.judged(pick.runner, false, c.d.Clock.Now())
+	}
+	if c.mayTryAgain() {
+		return true, nil
+	}
+	if c.mayHaveRun {
+		return false, refusal.New(http.StatusBadGateway, refusal.EndpointDeclined, "the runners declined the request").WithRan(refusal.Unknown)
+	}
+	return false, refusal.New(http.StatusServiceUnavailable, refusal.EndpointDeclined, "the runner declined the request").
+		WithRetryAfter(busyRetry)
+}
+
+// DeclinedError reports a runner that declined a request without running it.
+type DeclinedError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *DeclinedError) Error() string { return "declined with " + http.StatusText(e.Status) }
+
+// runnerFailed handles an answer that is no success and does not say that the request has not run.
+func (c *call) runnerFailed(ctx context.Context, pick choice, answer *Answer) (bool, *refusal.Refusal) {
+	serverFault := answer.Status >= http.StatusInternalServerError
+	c.d.Tracker.faulted(pick.runner, serverFault, c.d.Clock.Now())
+	if serverFault && c.route.Idempotent() && (c.begun || c.hasAlternative()) && c.mayTryAgain() {
+		c.sendFailed(pick, &DeclinedError{Status: answer.Status})
+		return true, nil
+	}
+	if c.begun {
+		return false, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "the stream could not go on")
+	}
+	return c.relayWhole(ctx, pick, answer)
+}
+
+// relay passes a success on.
+func (c *call) relay(ctx context.Context, pick choice, answer *Answer) (bool, *refusal.Refusal) {
+	if c.route.Kind == catalog.Streaming {
+		return c.relayStream(ctx, pick, answer)
+	}
+	return c.relayWhole(ctx, pick, answer)
+}
--- /dev/null
+++ b/internal/dispatch/load.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"time"
+)
+
+const (
+	// sampleWeight is the weight of the newest sample in a moving mean.
+	sampleWeight = 0.15
+	// failureHalfLife is how long it takes for a runner's past failures to count half.
+	failureHalfLife = 2 * time.Second
+	// firstWork is the time that a request takes a slot before any was seen.
+	firstWork = 100 * time.Millisecond
+	// failuresToAvoid is how many failures in a row make a runner avoided.
+	failuresToAvoid = 2
+	// avoidFor is how long an avoided runner gets nothing before one request tries it again, doubled up to avoidAtMost.
+	avoidFor    = 400 * time.Millisecond
+	avoidAtMost = 3 * time.Second
+)
+
+// load is what this VM knows of one runner's work.
+type load struct {
+	born int64
+	// own is this VM's requests at the runner, ownThen how many they were when the runner told its figures.
+	own     int
+	ownThen int
+	figures Figures
+	told    time.Time
+	// work is the mean time of a request at the runner.
+	work time.Duration
+	// failures is a decayed share of failed sends, as of failedAt.
+	failures float64
+	failedAt time.Time
+	inRow    int
+	avoid    time.Duration
+	until    time.Time
+	notes    []note
+}
+
+// note is something learned of a runner's models before its registration shows it.
+type note struct {
+	model   string
+	adapter string
+	held    bool
+	until   time.Time
+}
+
+// occupied estimates how many requests the runner has now.
+func (l *load) occupied() int {
+	return max(l.own, l.figures.Running+l.figures.Waiting+l.own-l.ownThen)
+}
+
+func (l *load) tell(f Figures, now time.Time) {
+	l.figures = f
+	l.ownThen = l.own
+	l.told = now
+}
+
+func (l *load) ended(took time.Duration) {
+	l.own--
+	if l.work == 0 {
+		l.work = took
+		return
+	}
+	l.work += time.Duration(sampleWeight * float64(took-l.work))
+}
+
+func (l *load) failing(now time.Time) float64 {
+	if l.failures == 0 {
+		return 0
+	}
+	age := float64(now.Sub(l.failedAt)) / float64(failureHalfLife)
+	return l.failures / (1 + age)
+}
+
+func (l *load) failed(now time.Time) {
+	l.failures = l.failing(now)*(1-sampleWeight) + sampleWeight
+	l.failedAt = now
+	l.inRow++
+	if l.inRow < failuresToAvoid {
+		return
+	}
+	l.avoid = min(max(2*l.avoid, avoidFor), avoidAtMost)
+	l.until = now.Add(l.avoid)
+}
+
+func (l *load) succeeded(now time.Time) {
+	l.failures = l.failing(now) * (1 - sampleWeight)
+	l.failedAt = now
+	l.inRow = 0
+	l.avoid = 0
+}
+
+// avoided reports whether the runner gets nothing now.
+func (l *load) avoided(now time.Time) bool { return l.avoid > 0 && now.Before(l.until) }
+
+// probing holds further requests back while one tries an avoided runner again.
+func (l *load) probing(now time.Time) {
+	if l.avoid > 0 {
+		l.until = now.Add(l.avoid)
+	}
+}
+
+// learned returns what notes say of a model or adapter, and whether any does.
+func (l *load) learned(model, adapter string, now time.Time) (held, known bool) {
+	for i := len(l.notes) - 1; i >= 0; i-- {
+		n := &l.notes[i]
+		if n.model != model || now.After(n.until) {
+			continue
+		}
+		if n.adapter == adapter {
+			return n.held, true
+		}
+		if n.adapter == "" && !n.held {
+			return false, true
+		}
+	}
+	return false, false
+}
+
+func (l *load) learn(n note, now time.Time) {
+	kept := l.notes[:0]
+	for _, old := range l.notes {
+		if now.Before(old.until) && (old.model != n.model || old.adapter != n.adapter) {
+			kept = append(kept, old)
+		}
+	}
+	l.notes = append(kept, n)
+}
--- /dev/null
+++ b/internal/dispatch/record.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/refusal"
+)
+
+// refuse answers in the runner's place.
+func (c *call) refuse(refused *refusal.Refusal) {
+	c.status = refused.Status
+	c.reason = string(refused.Code)
+	c.outcome = Refused
+	if refused.Status >= http.StatusInternalServerError && refused.Status != http.StatusServiceUnavailable {
+		c.outcome = Failed
+	}
+	c.caller.Refuse(refused)
+}
+
+// record logs and counts how the request ended.
+func (c *call) record(context.Context) {
+	now := c.d.Clock.Now()
+	attrs := []slog.Attr{
+		slog.String("Request", c.request.ID),
+		slog.String("Outcome", string(c.outcome)),
+		slog.Int("Status", c.status),
+		slog.Uint64("Version", c.version),
+		slog.String("Model", c.request.Model),
+		slog.String("Adapter", c.request.Adapter),
+		slog.String("Runner", c.runner),
+		slog.Int("Sends", c.sends),
+		slog.Int64("TookMS", now.Sub(c.request.Arrived).Milliseconds()),
+		slog.Int64("LeftMS", c.request.Left.Milliseconds()),
+	}
+	route := ""
+	if c.route != nil {
+		route = c.route.Name
+		attrs = append(attrs, slog.String("Route", route), slog.String("Service", c.service.Name))
+	}
+	if !c.first.IsZero() {
+		attrs = append(attrs, slog.Int64("FirstMS", c.first.Sub(c.request.Arrived).Milliseconds()))
+	}
+	attrs = append(attrs,
+		slog.Int("Holders", c.pick.holders),
+		slog.Int("Ready", c.pick.ready),
+		slog.Int("Occupied", c.pick.occupied),
+		slog.Int64("LoadAgeMS", c.pick.age.Milliseconds()),
+		slog.Int64("ScoreMS", c.pick.score.Milliseconds()),
+	)
+	if c.reason != "" {
+		attrs = append(attrs, slog.String("Reason", c.reason))
+	}
+	c.kind().Log(c.d.Logger, attrs...)
+	c.d.Metrics.ended(c, now)
+}
+
+func (c *call) kind() event.Event {
+	switch c.outcome {
+	case Answered:
+		return event.CallAnswered
+	case Refused:
+		return event.CallRefused
+	case Aborted:
+		return event.CallAborted
+	case Left:
+		return event.CallerLeft
+	default:
+		return event.CallFailed
+	}
+}
+
+func (c *call) sendFailed(pick choice, err error) {
+	event.SendFailed.Log(c.d.Logger,
+		slog.String("Request", c.request.ID),
+		slog.String("Runner", pick.runner.ID),
+		slog.String("Address", pick.runner.Address),
+		slog.Int("Sends", c.sends),
+		slog.Uint64("Heartbeat", pick.runner.Heartbeat),
+		event.Error(err))
+	c.d.Metrics.sendFailed(c.service.Name)
+}
+
+func (c *call) resumed(pick choice) {
+	event.StreamResumed.Log(c.d.Logger,
+		slog.String("Request", c.request.ID),
+		slog.String("Runner", pick.runner.ID),
+		slog.String("After", c.framer.last))
+	c.d.Metrics.resumed(c.service.Name)
+}
--- /dev/null
+++ b/internal/dispatch/tracker.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+// Tracker keeps what this VM learned of the runners from its own sends; it is safe for concurrent use.
+type Tracker struct {
+	distances Distances
+
+	mu    sync.Mutex
+	loads map[string]*load
+}
+
+// NewTracker returns a tracker that knows nothing yet.
+func NewTracker(distances Distances) *Tracker {
+	return &Tracker{
+		distances: distances,
+		loads:     make(map[string]*load),
+	}
+}
+
+// Learn notes for a time that a runner has, or no longer has, a model or an adapter of it.
+func (t *Tracker) Learn(runner, model, adapter string, held bool, now time.Time, lasts time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load(runner).learn(note{
+		model:   model,
+		adapter: adapter,
+		held:    held,
+		until:   now.Add(lasts),
+	}, now)
+}
+
+// Forget drops what is known of a runner.
+func (t *Tracker) Forget(runner string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l, ok := t.loads[runner]; ok && l.own == 0 {
+		delete(t.loads, runner)
+	}
+}
+
+// load returns what is known of a runner; the caller holds the lock.
+func (t *Tracker) load(runner string) *load {
+	l, ok := t.loads[runner]
+	if !ok {
+		l = &load{}
+		t.loads[runner] = l
+	}
+	return l
+}
+
+func (t *Tracker) sent(runner *roster.Runner, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.load(runner.ID)
+	l.own++
+	l.probing(now)
+}
+
+func (t *Tracker) told(runner *roster.Runner, f Figures, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load(runner.ID).tell(f, now)
+}
+
+func (t *Tracker) ended(runner *roster.Runner, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load(runner.ID).ended(took)
+}
+
+// judged counts the outcome of a send for or against the runner.
+func (t *Tracker) judged(runner *roster.Runner, good bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if good {
+		t.load(runner.ID).succeeded(now)
+		return
+	}
+	t.load(runner.ID).failed(now)
+}
+
+// faulted counts a runner's own failure, which says less of its reach than silence does.
+func (t *Tracker) faulted(runner *roster.Runner, fault bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.load(runner.ID)
+	inRow := l.inRow
+	if fault {
+		l.failed(now)
+		l.inRow, l.avoid = inRow, 0
+	}
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -36,6 +36,19 @@
 	AnswerCut             = Event{Number: 1801, Name: "AnswerCut", Level: slog.LevelWarn, Meaning: "An endpoint broke off an answer that could not be resumed.", Action: "Check the endpoint VM."}
 	AnswerResumed         = Event{Number: 1802, Name: "AnswerResumed", Level: slog.LevelInfo, Meaning: "A broken answer was resumed at another endpoint.", Action: "None."}
 	ForeignAnswerDropped  = Event{Number: 1803, Name: "ForeignAnswerDropped", Level: slog.LevelError, Meaning: "A late or crossed answer was dropped.", Action: "Check the endpoint that sent it."}
+	CallAnswered          = Event{Number: 1901, Name: "CallAnswered", Level: slog.LevelInfo, Meaning: "A request was answered by a runner.", Action: "None."}
+	CallRefused           = Event{Number: 1902, Name: "CallRefused", Level: slog.LevelInfo, Meaning: "A request was refused and has not run.", Action: "See Reason, Holders and Ready; 3201 to 3205 tell why models lie where they do."}
+	CallFailed            = Event{Number: 1903, Name: "CallFailed", Level: slog.LevelWarn, Meaning: "A request ended with a failure, of the runner or in its place.", Action: "See the 1906 lines of the same request."}
+	CallAborted           = Event{Number: 1904, Name: "CallAborted", Level: slog.LevelWarn, Meaning: "An answer that had begun was broken off.", Action: "See the 1906 lines of the same request."}
+	CallerLeft            = Event{Number: 1905, Name: "CallerLeft", Level: slog.LevelInfo, Meaning: "The caller went away before the end of its answer.", Action: "None."}
+	SendFailed            = Event{Number: 1906, Name: "SendFailed", Level: slog.LevelInfo, Meaning: "One send of a request brought no result.", Action: "Check the runner if it repeats."}
+	StreamResumed         = Event{Number: 1907, Name: "StreamResumed", Level: slog.LevelInfo, Meaning: "A stream goes on at another runner.", Action: "None."}
+	RunnerRegistered      = Event{Number: 2001, Name: "RunnerRegistered", Level: slog.LevelInfo, Meaning: "A runner is known for the first time, or in a new incarnation.", Action: "None."}
+	RunnerChanged         = Event{Number: 2002, Name: "RunnerChanged", Level: slog.LevelInfo, Meaning: "A runner's registration changed.", Action: "None."}
+	RunnerRemoved         = Event{Number: 2003, Name: "RunnerRemoved", Level: slog.LevelInfo, Meaning: "A runner's registration is gone and it gets nothing more.", Action: "None."}
+	SettingsReloaded      = Event{Number: 2101, Name: "SettingsReloaded", Level: slog.LevelInfo, Meaning: "The settings file was read again.", Action: "None."}
+	SettingsUnusable      = Event{Number: 2102, Name: "SettingsUnusable", Level: slog.LevelError, Meaning: "The settings file could not be used; the former settings stay.", Action: "Check the file with settings check."}
+	LinesDropped          = Event{Number: 2103, Name: "LinesDropped", Level: slog.LevelWarn, Meaning: "Log lines were dropped, as standard output did not take them in time.", Action: "Check what reads standard output."}
 )
 
 // Catalogue returns every event in ascending order of number.
@@ -50,5 +63,8 @@
 		PeerJoined, PeerLost,
 		CallUnknown, ClaimsUnavailable,
 		AnswerCut, AnswerResumed, ForeignAnswerDropped,
+		CallAnswered, CallRefused, CallFailed, CallAborted, CallerLeft, SendFailed, StreamResumed,
+		RunnerRegistered, RunnerChanged, RunnerRemoved,
+		SettingsReloaded, SettingsUnusable, LinesDropped,
 	}
 }
--- /dev/null
+++ b/internal/outbound/message.go
@@ -0,0 +1,54 @@
+package outbound
+
+import (
+	"bytes"
+	"net/http"
+	"net/url"
+	"strconv"
+)
+
+// Message is one HTTP request; URI, header and body are sent as they stand.
+type Message struct {
+	Method string
+	// URI is the path and query as they go on the request line.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// encode returns the bytes of the request.
+func (m *Message) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(len(m.Body) + 512)
+	b.WriteString(m.Method)
+	b.WriteByte(' ')
+	b.WriteString(m.URI)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(m.Host)
+	b.WriteString("\r\n")
+	for name, values := range m.Header {
+		for _, value := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(value)
+			b.WriteString("\r\n")
+		}
+	}
+	if len(m.Body) > 0 || (m.Method != http.MethodGet && m.Method != http.MethodHead) {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(m.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(m.Body)
+	return b.Bytes()
+}
+
+// request returns the request under which net/http reads the answer.
+func (m *Message) request() *http.Request {
+	return &http.Request{
+		Method: m.Method,
+		URL:    &url.URL{Path: "/"},
+	}
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -95,10 +95,10 @@
 	RetryAfterSeconds int `json:",omitempty"`
 }
 
-// Write sends the refusal as an HTTP response.
+// Write sends the refusal as an HTTP response; a Retry-After that the writer already has stays.
 func (r *Refusal) Write(w http.ResponseWriter) {
 	seconds := int(math.Ceil(r.RetryAfter.Seconds()))
-	if seconds > 0 {
+	if seconds > 0 && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
 	w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/internal/registry/doc.go
@@ -0,0 +1,2 @@
+// Package registry follows what the platform's store says of the configuration and the runners.
+package registry
--- /dev/null
+++ b/internal/registry/watcher.go
@@ -0,0 +1,258 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+const (
+	// configurationWait is how long one read waits for a change of the configuration.
+	configurationWait = 5 * time.Second
+	// runnersPause is the pause between two reads of the registrations; each runner registers anew about every second.
+	runnersPause = 700 * time.Millisecond
+	// firstPause and lastPause bound the pause after a failed read, which doubles.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+	// outageAfter is how many reads in a row must fail before the store counts as out.
+	outageAfter = 2
+)
+
+// Watcher follows the source and keeps the catalog in force and the roster.
+type Watcher struct {
+	source  Source
+	inForce *catalog.InForce
+	roster  *roster.Roster
+	clock   clockwork.Clock
+	logger  *slog.Logger
+	// encoded is the newest configuration as it lies in the store.
+	encoded atomic.Pointer[Versioned]
+	// runnersRead is set once the registrations were read.
+	runnersRead atomic.Bool
+	out         atomic.Bool
+}
+
+// Versioned is a configuration in the store's own form.
+type Versioned struct {
+	Version uint64
+	Encoded []byte
+}
+
+// New returns a watcher; its threads are RunConfiguration and RunRunners.
+func New(source Source, inForce *catalog.InForce, r *roster.Roster, clock clockwork.Clock, logger *slog.Logger) *Watcher {
+	return &Watcher{
+		source:  source,
+		inForce: inForce,
+		roster:  r,
+		clock:   clock,
+		logger:  logger,
+	}
+}
+
+// Ready reports whether a configuration and the registrations were read.
+func (w *Watcher) Ready() bool { return w.inForce.Current() != nil && w.runnersRead.Load() }
+
+// Out reports whether the store does not answer reads of the registrations now.
+func (w *Watcher) Out() bool { return w.out.Load() }
+
+// Newest returns the newest configuration in the store's own form, or nil.
+func (w *Watcher) Newest() *Versioned { return w.encoded.Load() }
+
+// RunConfiguration follows the configuration until the context ends.
+func (w *Watcher) RunConfiguration(ctx context.Context) error {
+	var next logservice.Offset
+	known := false
+	retry := w.newBackoff()
+	for ctx.Err() == nil {
+		read, err := w.readConfiguration(ctx, known, next)
+		var expired *logservice.ExpiredError
+		if errors.As(err, &expired) {
+			known = false
+			continue
+		}
+		if err != nil {
+			retry.failed(ctx, err)
+			continue
+		}
+		retry.succeeded()
+		known, next = true, read.Next
+		w.logSkipped(read.Skipped)
+		if read.Catalog == nil {
+			w.pauseWithout(ctx)
+			continue
+		}
+		w.adopt(read.Catalog, read.Encoded, "Store")
+	}
+	return nil
+}
+
+func (w *Watcher) readConfiguration(ctx context.Context, known bool, next logservice.Offset) (Configuration, error) {
+	if !known {
+		return w.source.Configuration(ctx)
+	}
+	return w.source.ConfigurationAfter(ctx, next, configurationWait)
+}
+
+// pauseWithout keeps reads apart while there is no configuration at all.
+func (w *Watcher) pauseWithout(ctx context.Context) {
+	if w.inForce.Current() == nil {
+		w.sleep(ctx, firstPause)
+	}
+}
+
+// Adopt takes in a configuration that a peer handed on; it fails if it can't be understood.
+func (w *Watcher) Adopt(encoded []byte) error {
+	decoded, err := w.source.DecodeConfiguration(encoded)
+	if err != nil {
+		return err
+	}
+	w.adopt(decoded, encoded, "Peer")
+	return nil
+}
+
+func (w *Watcher) adopt(c *catalog.Catalog, encoded []byte, from string) {
+	if !w.inForce.Adopt(c) {
+		return
+	}
+	w.encoded.Store(&Versioned{
+		Version: c.Version,
+		Encoded: encoded,
+	})
+	event.ConfigurationInForce.Log(w.logger, slog.Uint64("Version", c.Version), slog.String("From", from),
+		slog.Int("Routes", len(c.Routes())))
+}
+
+// RunRunners follows the registrations until the context ends.
+func (w *Watcher) RunRunners(ctx context.Context) error {
+	var next logservice.Offset
+	known := false
+	retry := w.newBackoff()
+	for ctx.Err() == nil {
+		read, err := w.readRunners(ctx, known, next)
+		var expired *logservice.ExpiredError
+		if errors.As(err, &expired) {
+			known = false
+			continue
+		}
+		if err != nil {
+			retry.failed(ctx, err)
+			if retry.failures >= outageAfter {
+				w.outage(true)
+			}
+			continue
+		}
+		retry.succeeded()
+		w.outage(false)
+		w.logSkipped(read.Skipped)
+		w.take(read, known)
+		known, next = true, read.Next
+		w.sleep(ctx, runnersPause)
+	}
+	return nil
+}
+
+func (w *Watcher) outage(out bool) {
+	w.out.Store(out)
+	w.roster.Outage(out, w.clock.Now())
+}
+
+func (w *Watcher) readRunners(ctx context.Context, known bool, next logservice.Offset) (Runners, error) {
+	if !known {
+		return w.source.Runners(ctx)
+	}
+	return w.source.RunnersAfter(ctx, next, 0)
+}
+
+func (w *Watcher) take(read Runners, known bool) {
+	now := w.clock.Now()
+	var updates []roster.Update
+	if known {
+		updates = w.roster.Apply(read.Changes, now)
+	} else {
+		updates = w.roster.Replace(registered(read.Changes), now)
+	}
+	w.logUpdates(append(updates, w.roster.Expire(now)...))
+	w.runnersRead.Store(true)
+}
+
+func registered(changes []roster.Change) []*roster.Runner {
+	var out []*roster.Runner
+	for _, change := range changes {
+		if change.Runner != nil {
+			out = append(out, change.Runner)
+		}
+	}
+	return out
+}
+
+func (w *Watcher) logUpdates(updates []roster.Update) {
+	for _, u := range updates {
+		switch {
+		case u.After == nil:
+			event.RunnerRemoved.Log(w.logger, slog.String("Runner", u.ID))
+		case u.Before == nil || u.Before.Born != u.After.Born:
+			event.RunnerRegistered.Log(w.logger, slog.String("Runner", u.ID), slog.String("Service", u.After.Service),
+				slog.String("Address", u.After.Address), slog.Int64("Born", u.After.Born), slog.Any("Models", u.After.Models))
+		default:
+			event.RunnerChanged.Log(w.logger, slog.String("Runner", u.ID), slog.Bool("Draining", u.After.Draining),
+				slog.Duration("Remaining", u.After.Remaining), slog.Uint64("Heartbeat", u.After.Heartbeat), slog.Any("Models", u.After.Models))
+		}
+	}
+}
+
+func (w *Watcher) logSkipped(skipped []Skipped) {
+	for _, s := range skipped {
+		event.RecordSkipped.Log(w.logger, slog.String("Key", s.Key), slog.Uint64("Offset", uint64(s.Offset)), event.Error(s.Reason))
+	}
+}
+
+func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-w.clock.After(d):
+	}
+}
+
+// backoff spaces reads of a store that does not answer.
+type backoff struct {
+	w        *Watcher
+	pause    time.Duration
+	failures int
+}
+
+func (w *Watcher) newBackoff() *backoff {
+	return &backoff{
+		w:     w,
+		pause: firstPause,
+	}
+}
+
+func (b *backoff) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if b.failures == 0 {
+		event.LogUnreachable.Log(b.w.logger, event.Error(err))
+	}
+	b.failures++
+	b.w.sleep(ctx, b.pause/2+rand.N(b.pause))
+	b.pause = min(2*b.pause, lastPause)
+}
+
+func (b *backoff) succeeded() {
+	if b.failures > 0 {
+		event.LogReachable.Log(b.w.logger, slog.Int("Failures", b.failures))
+	}
+	b.failures = 0
+	b.pause = firstPause
+}
--- /dev/null
+++ b/internal/serving/http.go
@@ -0,0 +1,80 @@
+package serving
+
+import (
+	"log"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	// headerTimeout is how long a caller may take to send its header.
+	headerTimeout = 5 * time.Second
+	// idleTimeout exceeds every idle time that configurations allow, so that a caller never meets a closing connection.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's header; configurations allow less.
+	maxHeaderBytes = 64 << 10
+)
+
+func (s *Server) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           s.Ingress(s),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          quiet(s),
+	}
+}
+
+func (s *Server) readyServer() *http.Server {
+	r := chi.NewRouter()
+	r.Get(s.ReadyPath, s.serveReady)
+	return &http.Server{
+		Handler:           r,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          quiet(s),
+	}
+}
+
+func (s *Server) metricsServer() *http.Server {
+	r := chi.NewRouter()
+	r.Handle("/metrics", promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{}))
+	return &http.Server{
+		Handler:           r,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          quiet(s),
+	}
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if s.Stopping() || !s.watcher.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// quiet sends net/http's complaints about callers' connections to the debug level.
+func quiet(s *Server) *log.Logger { return log.New(&debugWriter{logger: s.Logger}, "", 0) }
+
+func (s *Server) registerGauges() {
+	gauge := func(name, help string, value func() float64) {
+		s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: name,
+			Help: help,
+		}, value))
+	}
+	gauge("cowsliparch_catalog_version", "Version of the operators' configuration in force here.", func() float64 {
+		return float64(s.inForce.Version())
+	})
+	gauge("cowsliparch_runners", "Runners registered.", func() float64 { return float64(len(s.roster.View().All())) })
+	gauge("cowsliparch_connections_opened", "Connections opened to runners and to the store.", func() float64 {
+		return float64(s.Pool.Opened())
+	})
+	gauge("cowsliparch_log_lines_dropped", "Log lines dropped.", func() float64 { return float64(s.LinesDropped()) })
+}
--- /dev/null
+++ b/internal/serving/server.go
@@ -0,0 +1,173 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/registry"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+	"github.com/cowsliparch/cowsliparch/internal/settings"
+)
+
+const (
+	// drainDelay is how long connections are still taken after readiness is withdrawn: the balancer asks once a second
+	// and believes the second miss.
+	drainDelay = 2600 * time.Millisecond
+	// stopMargin is how long before the process is ended from outside it ends by itself.
+	stopMargin = 350 * time.Millisecond
+)
+
+// Server is the process of an entry VM.
+type Server struct {
+	Dependencies
+	registry   *prometheus.Registry
+	inForce    *catalog.InForce
+	roster     *roster.Roster
+	watcher    *registry.Watcher
+	tracker    *dispatch.Tracker
+	budget     *dispatch.Budget
+	dispatcher *dispatch.Dispatcher
+	stopping   atomic.Bool
+
+	callers net.Listener
+	ready   net.Listener
+	metrics net.Listener
+}
+
+// New returns a server that listens already; Run answers. It fails with ListenError.
+func New(d Dependencies) (*Server, error) {
+	s := &Server{
+		Dependencies: d,
+		registry:     prometheus.NewRegistry(),
+		inForce:      catalog.NewInForce(),
+		roster:       roster.New(),
+		tracker: dispatch.NewTracker(dispatch.Distances{
+			FailureDomain: d.Settings.VM.FailureDomain,
+			Regions:       d.Settings.VM.Regions,
+		}),
+		budget: dispatch.NewBudget(budgetLimits(d.Settings), d.Clock.Now()),
+	}
+	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	s.watcher = registry.New(d.Source, s.inForce, s.roster, d.Clock, d.Logger)
+	s.dispatcher = dispatch.New(dispatch.Dependencies{
+		Catalog: s.inForce.Current,
+		Roster:  s.roster.View,
+		VMs:     s.vms,
+		Tracker: s.tracker,
+		Budget:  s.budget,
+		Sender:  d.Sender,
+		Wants:   s,
+		Metrics: dispatch.NewMetrics(s.registry),
+		Clock:   d.Clock,
+		Logger:  d.Logger,
+	})
+	s.registerGauges()
+	return s, s.listen()
+}
+
+func budgetLimits(s settings.Serving) dispatch.BudgetLimits {
+	return dispatch.BudgetLimits{
+		Window: s.Limits.RetryWindow,
+		Ratio:  s.Limits.RetryRatio,
+		Slack:  float64(s.Limits.RetrySlack),
+	}
+}
+
+func (s *Server) listen() error {
+	vm := s.Settings.VM
+	for _, l := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{vm.CallerAddress, &s.callers},
+		{vm.ReadyAddress, &s.ready},
+		{vm.MetricsAddress, &s.metrics},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return &ListenError{
+				Address: l.address,
+				Cause:   err,
+			}
+		}
+		*l.listener = listener
+	}
+	return nil
+}
+
+// Serve answers one request of a caller.
+func (s *Server) Serve(r *http.Request, request *dispatch.Request, caller dispatch.Caller) {
+	s.dispatcher.Serve(r.Context(), request, caller)
+}
+
+// BodyLimit returns the largest body that the configuration allows, or 0 if it does not say.
+func (s *Server) BodyLimit() int64 {
+	if c := s.inForce.Current(); c != nil {
+		return c.Limits.BodyBytes
+	}
+	return 0
+}
+
+// Stopping reports whether a graceful stop has begun.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
+// Run answers until the context ends, then stops gracefully.
+func (s *Server) Run(ctx context.Context) error {
+	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	threads, control := errgroup.WithContext(control)
+	for _, thread := range s.threads() {
+		threads.Go(func() error { return thread(control) })
+	}
+	callers, ready, metrics := s.callerServer(), s.readyServer(), s.metricsServer()
+	threads.Go(func() error { return serve(callers, s.callers) })
+	threads.Go(func() error { return serve(ready, s.ready) })
+	threads.Go(func() error { return serve(metrics, s.metrics) })
+	event.EntryStarted.Log(s.Logger, slog.String("Callers", s.callers.Addr().String()))
+	select {
+	case <-ctx.Done():
+	case <-control.Done():
+	}
+	stopped := s.Clock.Now()
+	s.stopping.Store(true)
+	event.EntryStopping.Log(s.Logger)
+	s.drain(callers, stopped)
+	stopControl()
+	_ = ready.Close()
+	_ = metrics.Close()
+	return threads.Wait()
+}
+
+// drain takes connections a little longer, then lets every request in flight come to its end.
+func (s *Server) drain(callers *http.Server, stopped time.Time) {
+	s.Clock.Sleep(drainDelay)
+	end := stopped.Add(s.Settings.Limits.StopTimeout - stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(s.Clock.Now()))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		event.StopDeadlinePassed.Log(s.Logger, event.Error(err))
+		_ = callers.Close()
+		return
+	}
+	event.EntryStopped.Log(s.Logger)
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- a/internal/settings/example.go
+++ b/internal/settings/example.go
@@ -6,10 +6,12 @@
 )
 
 // Example returns a commented settings file that passes the check.
-func Example() string {
+func Example() string { return example(keys()) }
+
+func example[S any](keys []key[S]) string {
 	var b strings.Builder
 	section := ""
-	for _, k := range keys() {
+	for _, k := range keys {
 		if k.section != section {
 			if section != "" {
 				b.WriteString("\n")
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -1,10 +1,13 @@
 package settings
 
-import "time"
+import (
+	"log/slog"
+	"time"
+)
 
 // keys returns every setting, in the order of the example file.
-func keys() []key {
-	return []key{
+func keys() []key[Settings] {
+	return []key[Settings]{
 		{
 			section:  "VM",
 			name:     "Name",
@@ -218,7 +221,7 @@
 			example: "INFO",
 			allowed: "DEBUG, INFO, WARN or ERROR",
 			meaning: "The least level of events that are logged.",
-			set:     level,
+			set:     level(func(s *Settings) *slog.Level { return &s.Log.Level }),
 		},
 	}
 }
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -14,24 +14,22 @@
 )
 
 // Read returns the settings in a file; it fails with ReadError, or with InvalidError and every fault.
-func Read(path string) (Settings, error) {
+func Read(path string) (Settings, error) { return read(path, Parse) }
+
+func read[S any](path string, parse func(string, []byte) (S, error)) (S, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, &ReadError{Path: path, Cause: err}
+		var none S
+		return none, &ReadError{Path: path, Cause: err}
 	}
-	return Parse(path, content)
+	return parse(path, content)
 }
 
 // Parse returns the settings in the content of a file.
 func Parse(path string, content []byte) (Settings, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, content)
+	s, faults, err := decode(path, content, keys())
 	if err != nil {
-		return Settings{}, &ReadError{Path: path, Cause: err}
-	}
-	var s Settings
-	faults := unknown(file)
-	for _, k := range keys() {
-		faults = append(faults, k.read(file, &s)...)
+		return Settings{}, err
 	}
 	if len(faults) == 0 && s.Control.LeaseMargin*2 >= s.Control.LeaseTerm {
 		faults = append(faults, Fault{
@@ -47,6 +45,20 @@
 	return s, nil
 }
 
+// decode reads every key of a file and returns all faults.
+func decode[S any](path string, content []byte, keys []key[S]) (S, []Fault, error) {
+	var s S
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, content)
+	if err != nil {
+		return s, nil, &ReadError{Path: path, Cause: err}
+	}
+	faults := unknown(file, keys)
+	for _, k := range keys {
+		faults = append(faults, k.read(file, &s)...)
+	}
+	return s, faults, nil
+}
+
 // Default returns settings with every default in place and nothing required.
 func Default() Settings {
 	var s Settings
@@ -58,7 +70,7 @@
 	return s
 }
 
-func (k key) read(file *ini.File, s *Settings) []Fault {
+func (k key[S]) read(file *ini.File, s *S) []Fault {
 	section := file.Section(k.section)
 	if !section.HasKey(k.name) {
 		if k.required {
@@ -78,7 +90,7 @@
 	return nil
 }
 
-func (k key) fault(value, allowed string) Fault {
+func (k key[S]) fault(value, allowed string) Fault {
 	return Fault{
 		Section: k.section,
 		Key:     k.name,
@@ -88,9 +100,9 @@
 }
 
 // unknown returns a fault for each section and key that no setting has.
-func unknown(file *ini.File) []Fault {
+func unknown[S any](file *ini.File, keys []key[S]) []Fault {
 	known := make(map[string]map[string]bool)
-	for _, k := range keys() {
+	for _, k := range keys {
 		if known[k.section] == nil {
 			known[k.section] = make(map[string]bool)
 		}
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -12,6 +12,7 @@
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/preset/list"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/preset/use"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/report/burn"
+	"github.com/cowsliparch/cowsliparch/pkg/cmd/serve"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/settings/check"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/settings/example"
 	"github.com/cowsliparch/cowsliparch/pkg/cmdutil"
@@ -24,6 +25,7 @@
 		Short: "Serve many models on fewer accelerators",
 		Commands: []*cmdutil.Command{
 			entry.NewCommand(f, nil),
+			serve.NewCommand(f, nil),
 			demo.NewCommand(f, nil),
 			noun("configuration", "Publish and show the operators' configuration",
 				publish.NewCommand(f, nil), show.NewCommand(f, nil)),
--- /dev/null
+++ b/pkg/cmd/serve/serve.go
@@ -0,0 +1,109 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net/http"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cowsliparch/cowsliparch/internal/logring"
+	"github.com/cowsliparch/cowsliparch/internal/outbound"
+	"github.com/cowsliparch/cowsliparch/internal/serving"
+	"github.com/cowsliparch/cowsliparch/internal/settings"
+	"github.com/cowsliparch/cowsliparch/pkg/cmdutil"
+	"github.com/cowsliparch/cowsliparch/pkg/iostreams"
+	"github.com/cowsliparch/cowsliparch/platform"
+)
+
+// Options is what the command works with.
+type Options struct {
+	IO       *iostreams.IOStreams
+	Settings func(path string) (settings.Serving, error)
+	Clock    func() clockwork.Clock
+	Path     string
+}
+
+// NewCommand returns the command; run replaces its work in tests.
+func NewCommand(f *cmdutil.Factory, run func(context.Context, *Options) error) *cmdutil.Command {
+	opts := &Options{
+		IO:       f.IOStreams,
+		Settings: settings.ReadServing,
+		Clock:    f.Clock,
+	}
+	if run == nil {
+		run = serveRun
+	}
+	return &cmdutil.Command{
+		Use:   "serve",
+		Short: "Run the process of an entry VM on the users' platform",
+		Long: "Run the process of an entry VM on the users' platform until it is told to stop by SIGTERM or SIGINT.\n\n" +
+			"A stop is graceful: readiness goes at once, and requests in flight come to their end.\n" +
+			"The settings are read again on SIGHUP, and when the file changes.",
+		Example: "  $ cowsliparch serve -settings serve.ini",
+		Flags: func(flags *flag.FlagSet) {
+			flags.StringVar(&opts.Path, "settings", platform.SettingsPath(), "settings `file`")
+		},
+		Run: func(ctx context.Context, _ []string) error { return run(ctx, opts) },
+	}
+}
+
+func serveRun(ctx context.Context, opts *Options) error {
+	s, err := opts.Settings(opts.Path)
+	var invalid *settings.InvalidError
+	if errors.As(err, &invalid) {
+		fmt.Fprintln(opts.IO.ErrOut, invalid.Error())
+		return &cmdutil.SilentError{Code: cmdutil.ExitUsage}
+	}
+	if err != nil {
+		return err
+	}
+	ring := logring.New(opts.IO.Out)
+	logging, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_ = ring.Run(logging)
+	}()
+	defer func() {
+		stopLogging()
+		<-written
+	}()
+	logger := slog.New(slog.NewJSONHandler(ring, &slog.HandlerOptions{
+		Level: s.Log.Level,
+	})).With("VM", s.VM.Name)
+	server, err := newServer(s, opts, ring, logger)
+	if err != nil {
+		return err
+	}
+	return server.Run(ctx)
+}
+
+// newServer wires the platform's adapter to the product.
+func newServer(s settings.Serving, opts *Options, ring *logring.Ring, logger *slog.Logger) (*serving.Server, error) {
+	clock := opts.Clock()
+	pool := outbound.NewPool(clock)
+	runners := platform.NewRunners(pool)
+	return serving.New(serving.Dependencies{
+		Settings:     s,
+		Reload:       func() (settings.Serving, error) { return opts.Settings(opts.Path) },
+		Source:       platform.NewStore(s.Platform.Store, pool),
+		Sender:       runners,
+		Pool:         pool,
+		ReadyPath:    platform.ReadinessPath,
+		LinesDropped: ring.Dropped,
+		Clock:        clock,
+		Logger:       logger,
+		Ingress: func(server *serving.Server) http.Handler {
+			return &platform.Ingress{
+				Serve:     server.Serve,
+				BodyLimit: server.BodyLimit,
+				Stopping:  server.Stopping,
+				Clock:     clock,
+			}
+		},
+	})
+}
