Weigh one more replica against a runner's mean work

Cause: a replica had to take 0.02 of the whole demand off the others. Ruled out: the weight store's rate (16 loads a second, 5 used), the planner's time. Change: the bound is 0.18 of a runner's mean work, the same as before on nine runners.

--- a/internal/layout/adapters.go
+++ b/internal/layout/adapters.go
@@ -16,6 +16,9 @@
 	stepAdapters = 4
 	// dropShare is the part of the wanted adapter's rate below which another one makes room for it.
 	dropShare = 0.5
+	// inUseRate is by how many requests a second an adapter that requests run on counts as more wanted: a runner takes no other
+	// order until they have ended.
+	inUseRate = 1000
 )
 
 // adapterPlan holds the places while adapters are dealt out.
@@ -195,10 +198,11 @@
 func (p *adapterPlan) droppable(w wish) (*Runner, Adapter, bool) {
 	var at *Runner
 	var victim Adapter
-	least := dropShare * w.rate
+	most := dropShare * w.rate
 	if p.demand.Missing[w.adapter] {
-		least = math.Inf(1)
+		most = math.Inf(1)
 	}
+	least := math.Inf(1)
 	for _, r := range p.takers[w.adapter.Model] {
 		if !p.takes(r, w.adapter) {
 			continue
@@ -207,7 +211,13 @@
 			for _, name := range adapters {
 				a := Adapter{Model: model, Name: name}
 				rate := p.demand.Adapters[model][name] / float64(max(p.copies[a], 1))
-				if rate < least && !r.Fresh[a] && !p.dropped(r, a) {
+				if rate >= most || r.Fresh[a] || p.dropped(r, a) {
+					continue
+				}
+				if r.InUse[a] {
+					rate += inUseRate
+				}
+				if rate < least {
 					at, victim, least = r, a, rate
 				}
 			}
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// leastGain is the part of the whole demand that one more replica must take off the others.
-	leastGain = 0.02
+	// leastGain is the part of a runner's mean work that one more replica must take off the others.
+	leastGain = 0.18
 	// leastRequests is the requests a second below which demand says too little to move models.
 	leastRequests = 15
 	// hysteresis is by how much a replica's gain must exceed the loss of those that make room for it.
@@ -20,6 +20,8 @@
 	domainShare = 0.12
 	// storeShare is the part of a gain that a load from the weight store takes off it.
 	storeShare = 0.1
+	// waitShare is the part of a gain that unloading a model in use, whose requests must end first, takes off it.
+	waitShare = 0.2
 )
 
 // plan holds the replicas and steps while they are worked out.
@@ -107,7 +109,7 @@
 
 // next returns the best step that is worth it.
 func (p *plan) next(store bool) (Step, bool) {
-	floor := leastGain * p.demand.total()
+	floor := leastGain * p.demand.total() / float64(max(len(p.runners), 1))
 	if p.demand.requests() < leastRequests {
 		floor = lastReplica / 2
 	}
@@ -151,6 +153,9 @@
 		if fromStore {
 			score += preference(gain, p.demand.total()) * storeShare
 		}
+		if slices.ContainsFunc(victims, r.uses) {
+			score += preference(gain, p.demand.total()) * waitShare
+		}
 		if score < best {
 			best = score
 			chosen = Step{
--- a/internal/layout/runner.go
+++ b/internal/layout/runner.go
@@ -13,6 +13,8 @@
 	Unloading []string
 	// Fresh is the adapters that came so lately that who asked for them may not have used them yet.
 	Fresh map[Adapter]bool
+	// InUse is the adapters, or models without a name of an adapter, that requests run on now.
+	InUse map[Adapter]bool
 	// Busy runners take no further step now.
 	Busy bool
 	// Leaving runners count for nothing.
@@ -30,6 +32,9 @@
 	return ok && !slices.Contains(r.Unloading, model)
 }
 
+// uses reports whether requests run on a model.
+func (r *Runner) uses(model string) bool { return r.InUse[Adapter{Model: model}] }
+
 // atHand reports whether the runner has a copy of the model's weights.
 func (r *Runner) atHand(model string) bool {
 	return slices.Contains(r.InMemory, model) || slices.Contains(r.OnDisk, model)
