Share occupancy over the links, and take adapters only off places that nothing runs on

Change: VMs tell the holder five times a second what they have at the runners and what it runs on; the holder tells the sum to all. A runner's own word of the last 300 ms goes before the sum. The planner drops what nothing runs on; where all is in use, the VMs are told first and the order waits for the requests to end. Steps under way count as done. Members are told when they change.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
 const (
@@ -33,8 +34,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	sent := c.d.Clock.Now()
-	c.d.Tracker.sent(pick.runner, sent)
-	defer func() { c.d.Tracker.ended(pick.runner, c.d.Clock.Now().Sub(sent)) }()
+	use := c.use(pick.runner)
+	c.d.Tracker.sent(use, sent)
+	defer func() { c.d.Tracker.ended(use, c.d.Clock.Now().Sub(sent)) }()
 	stop := c.watchSilence(cancel, pick, sent)
 	answer, err := c.d.Sender.Send(ctx, pick.runner, c.request, c.try(pick.runner))
 	stop()
@@ -61,6 +63,15 @@
 	return c.runnerFailed(ctx, pick, answer)
 }
 
+// use returns what the request runs on at a runner.
+func (c *call) use(runner *roster.Runner) roster.Use {
+	use := roster.Use{Runner: runner.ID}
+	if c.service.Engine != nil {
+		use.Model, use.Adapter = c.request.Model, c.request.Adapter
+	}
+	return use
+}
+
 // watchSilence ends a send when the runner has been silent towards all requests of this VM and this one may go to another
 // runner. A runner that is only busy still answers others. The watch goes on until stop is called.
 func (c *call) watchSilence(cancel context.CancelCauseFunc, pick choice, sent time.Time) (stop func()) {
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -16,15 +16,19 @@
 	// avoidFor is how long an avoided runner gets nothing before one request tries it again, doubled up to avoidAtMost.
 	avoidFor    = 400 * time.Millisecond
 	avoidAtMost = 3 * time.Second
+	// ownWordFresh is for how long a runner's own word goes before what the VMs tell each other, which is about so old.
+	ownWordFresh = 300 * time.Millisecond
 )
 
 // load is what this VM knows of one runner's work.
 type load struct {
-	// own is this VM's requests at the runner, ownThen how many they were when the runner told its figures.
-	own     int
-	ownThen int
-	figures Figures
-	told    time.Time
+	// own is this VM's requests at the runner.
+	own int
+	// others is the requests of other VMs there, as of told: what the runner said it has or the VMs told each other.
+	others int
+	told   time.Time
+	// ownTold is how many of its own requests this VM last told the others.
+	ownTold int
 	// heard is when any byte last came from the runner.
 	heard time.Time
 	// work is the mean time of a request at the runner.
@@ -47,13 +51,20 @@
 }
 
 // occupied estimates how many requests the runner has now.
-func (l *load) occupied() int {
-	return max(l.own, l.figures.Running+l.figures.Waiting+l.own-l.ownThen)
-}
+func (l *load) occupied() int { return l.own + l.others }
 
+// tell takes in what the runner says it has.
 func (l *load) tell(f Figures, now time.Time) {
-	l.figures = f
-	l.ownThen = l.own
+	l.others = max(f.Running+f.Waiting-l.own, 0)
+	l.told = now
+}
+
+// share takes in what all VMs together told they have at the runner, unless the runner itself spoke lately.
+func (l *load) share(sum int, now time.Time) {
+	if now.Sub(l.told) < ownWordFresh {
+		return
+	}
+	l.others = max(sum-l.ownTold, 0)
 	l.told = now
 }
 
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -13,6 +13,8 @@
 
 	mu    sync.Mutex
 	loads map[string]*load
+	// uses counts this VM's requests by what they run on.
+	uses map[roster.Use]int
 }
 
 // NewTracker returns a tracker that knows nothing yet.
@@ -20,6 +22,7 @@
 	return &Tracker{
 		distances: distances,
 		loads:     make(map[string]*load),
+		uses:      make(map[roster.Use]int),
 	}
 }
 
@@ -54,10 +57,11 @@
 	return l
 }
 
-func (t *Tracker) sent(runner *roster.Runner, now time.Time) {
+func (t *Tracker) sent(use roster.Use, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.load(runner.ID)
+	t.uses[use]++
+	l := t.load(use.Runner)
 	l.own++
 	l.probing(now)
 }
@@ -85,10 +89,45 @@
 	t.load(runner.ID).tell(f, now)
 }
 
-func (t *Tracker) ended(runner *roster.Runner, took time.Duration) {
+// Account returns this VM's requests at the runners, and the models and adapters that they run on.
+func (t *Tracker) Account() (roster.Occupancy, []roster.Use) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := make(roster.Occupancy)
+	for id, l := range t.loads {
+		l.ownTold = l.own
+		if l.own > 0 {
+			own[id] = l.own
+		}
+	}
+	uses := make([]roster.Use, 0, len(t.uses))
+	for use := range t.uses {
+		if use.Model != "" {
+			uses = append(uses, use)
+		}
+	}
+	return own, uses
+}
+
+// TakeOccupancy takes in the requests of all VMs at the runners.
+func (t *Tracker) TakeOccupancy(sum roster.Occupancy, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.load(runner.ID).ended(took)
+	for id := range sum {
+		t.load(id)
+	}
+	for id, l := range t.loads {
+		l.share(sum[id], now)
+	}
+}
+
+func (t *Tracker) ended(use roster.Use, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.load(use.Runner).ended(took)
+	if t.uses[use]--; t.uses[use] == 0 {
+		delete(t.uses, use)
+	}
 }
 
 // judged counts the outcome of a send for or against the runner.
--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -27,10 +27,20 @@
 	Runners       []roster.Runner `cbor:",omitempty"`
 	// Changes is what the holder read of single registrations.
 	Changes []roster.Change `cbor:",omitempty"`
+	// Account is what the sender has at the runners.
+	Account *account `cbor:",omitempty"`
+	// Occupancy is the requests that all VMs together have at the runners, from the holder.
+	Occupancy roster.Occupancy `cbor:",omitempty"`
 }
 
 type holding = orders.Holding
 
+// account is the requests of one VM at the runners, and what they use there.
+type account struct {
+	Occupancy roster.Occupancy
+	Uses      []roster.Use `cbor:",omitempty"`
+}
+
 type missing struct {
 	Service string
 	Model   string
@@ -50,8 +60,8 @@
 	Holds bool
 	// Version is the configuration in force at the sender.
 	Version uint64
-	// Members lists the VMs linked to the holder, itself included.
-	Members []Member
+	// Members lists the VMs linked to the holder, itself included; it is left out while it is as told before.
+	Members []Member `cbor:",omitempty"`
 	// Lease is how far the sender has read the stream of the lease.
 	Lease logservice.Offset
 	// Resigned is the fencing number of a tenure that the sender gave up without being able to record it.
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -30,9 +30,13 @@
 	local Local
 	clock clockwork.Clock
 	bytes atomic.Uint64
+	// census takes in the accounts of occupancy, if there is one.
+	census atomic.Pointer[Census]
 
 	mu       sync.Mutex
 	sessions map[*session]bool
+	// joined counts the changes of the members.
+	joined int
 }
 
 // session is one link that another VM opened.
@@ -41,6 +45,8 @@
 	// member is set by the first frame, heard is when the last one came; the host's lock guards them.
 	member *Member
 	heard  time.Time
+	// told is the count of changes up to which the other side was told the members.
+	told int
 }
 
 // NewHost returns a host without links.
@@ -72,6 +78,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		delete(h.sessions, s)
+		h.joined++
 	}()
 	go h.beat(ctx, s)
 	for {
@@ -85,7 +92,7 @@
 
 func (h *Host) beat(ctx context.Context, s *session) {
 	for {
-		if h.silent(s) || !s.link.TrySend(frame{Pulse: h.pulse()}) {
+		if h.silent(s) || !s.link.TrySend(frame{Pulse: h.pulseTo(s)}) {
 			s.link.Close()
 			return
 		}
@@ -103,12 +110,24 @@
 	return h.clock.Since(s.heard) > linkSilence
 }
 
+// pulseTo returns a pulse for one link, with the members if the other side does not know them yet.
+func (h *Host) pulseTo(s *session) *pulse {
+	p := h.pulse()
+	h.mu.Lock()
+	joined := h.joined
+	h.mu.Unlock()
+	if p.Holds && s.told != joined {
+		p.Members = h.Members()
+		s.told = joined
+	}
+	return p
+}
+
 func (h *Host) pulse() *pulse {
 	next, resigned := h.local.Lease()
 	return &pulse{
 		Holds:    h.local.Holds(),
 		Version:  h.local.Version(),
-		Members:  h.Members(),
 		Lease:    next,
 		Resigned: resigned,
 	}
@@ -122,23 +141,37 @@
 	case f.Hello != nil:
 		h.mu.Lock()
 		s.member = f.Hello
+		h.joined++
 		h.mu.Unlock()
 	case f.Missing != nil:
 		h.local.Missing(f.Missing.Service, f.Missing.Model, f.Missing.Adapter)
 	case f.Ask != nil:
 		h.answer(s, f.Ask)
 	case f.Demand != nil:
-		h.demand(s, f.Demand)
+		if name, ok := h.sender(s); ok {
+			h.local.Demand(name, f.Demand)
+		}
+	case f.Account != nil:
+		if name, ok := h.sender(s); ok {
+			h.count(name, *f.Account)
+		}
+	}
+}
+
+func (h *Host) count(vm string, a account) {
+	if census := h.census.Load(); census != nil {
+		census.take(vm, a)
 	}
 }
 
-func (h *Host) demand(s *session, rates []orders.Rate) {
+// sender returns the name of the VM at the other side, once it has told it.
+func (h *Host) sender(s *session) (string, bool) {
 	h.mu.Lock()
-	member := s.member
-	h.mu.Unlock()
-	if member != nil {
-		h.local.Demand(member.Name, rates)
+	defer h.mu.Unlock()
+	if s.member == nil {
+		return "", false
 	}
+	return s.member.Name, true
 }
 
 func (h *Host) answer(s *session, a *ask) {
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -33,6 +33,10 @@
 	TakeChanges(changes []roster.Change)
 	// Learn takes in facts about runners.
 	Learn(facts []orders.Holding)
+	// Account returns the requests that this VM has at the runners and what they use; TakeOccupancy takes in the requests of
+	// all VMs.
+	Account() (roster.Occupancy, []roster.Use)
+	TakeOccupancy(sum roster.Occupancy)
 	// Rates returns what is asked for here.
 	Rates() []orders.Rate
 	// Demand and Missing take in what a VM was asked for.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -42,6 +43,9 @@
 	heard    logservice.Offset
 	givenUp  uint64
 	received []byte
+	own      roster.Occupancy
+	uses     []roster.Use
+	sum      roster.Occupancy
 }
 
 func (l *local) with(change func(*local)) {
@@ -77,6 +81,12 @@
 func (l *local) Runners() []roster.Runner            { return []roster.Runner{{ID: "r1"}} }
 func (l *local) StoreOut() bool                      { l.mu.Lock(); defer l.mu.Unlock(); return l.storeOut }
 func (l *local) TakeRunners(runners []roster.Runner) { l.with(func(l *local) { l.runners = runners }) }
+func (l *local) Account() (roster.Occupancy, []roster.Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.own), l.uses
+}
+func (l *local) TakeOccupancy(sum roster.Occupancy)  { l.with(func(l *local) { l.sum = sum }) }
 func (l *local) TakeChanges(changes []roster.Change) { l.with(func(l *local) { l.changes = changes }) }
 func (l *local) Learn(facts []orders.Holding)        { l.with(func(l *local) { l.facts = facts }) }
 func (l *local) Rates() []orders.Rate                { l.mu.Lock(); defer l.mu.Unlock(); return l.rates }
@@ -94,7 +104,12 @@
 	})
 }
 
-func newLocal() *local { return &local{demand: make(map[string][]orders.Rate)} }
+func newLocal() *local {
+	return &local{
+		demand: make(map[string][]orders.Rate),
+		own:    make(roster.Occupancy),
+	}
+}
 
 // pair is a holder and another VM that links to it.
 type pair struct {
@@ -153,6 +168,34 @@
 	require.Eventually(t, func() bool { return len(p.spoke.Members()) == 2 }, waitLimit, tick)
 }
 
+func TestEveryVMHearsOfTheRequestsOfAll(t *testing.T) {
+	p := newPair(t)
+	p.holder.with(func(l *local) { l.own = roster.Occupancy{"r1": 2, "r2": 1} })
+	p.other.with(func(l *local) {
+		l.own = roster.Occupancy{"r1": 3}
+		l.uses = []roster.Use{{Runner: "r1", Model: "m", Adapter: "a1"}}
+	})
+	census := mesh.NewCensus(p.host, p.holder, clockwork.NewRealClock())
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = census.Run(ctx) }()
+	all := roster.Occupancy{"r1": 5, "r2": 1}
+	require.Eventually(t, p.other.check(func(l *local) bool { return maps.Equal(l.sum, all) }), waitLimit, tick)
+	require.Eventually(t, p.holder.check(func(l *local) bool { return maps.Equal(l.sum, all) }), waitLimit, tick)
+	require.Equal(t, map[roster.Use]bool{{Runner: "r1", Model: "m", Adapter: "a1"}: true, {Runner: "r1", Model: "m"}: true}, census.Uses())
+}
+
+func TestNoSumWithoutTheOthers(t *testing.T) {
+	holder := newLocal()
+	holder.holds = true
+	host := mesh.NewHost(mesh.Member{Name: "holder"}, holder, clockwork.NewRealClock())
+	census := mesh.NewCensus(host, holder, clockwork.NewRealClock())
+	ctx, stop := context.WithTimeout(t.Context(), time.Second)
+	defer stop()
+	_ = census.Run(ctx)
+	require.True(t, holder.check(func(l *local) bool { return l.sum == nil })())
+}
+
 func TestNewerConfigurationIsAskedFor(t *testing.T) {
 	p := newPair(t)
 	p.other.with(func(l *local) { l.version = 3 })
--- a/internal/mesh/spoke.go
+++ b/internal/mesh/spoke.go
@@ -140,6 +140,7 @@
 	event.LinkUp.Log(s.logger, slog.String("Address", address))
 	_ = link.TrySend(frame{Hello: &s.self})
 	go s.report(ctx, link, address)
+	go s.share(ctx, link)
 	for {
 		f, err := link.Read(ctx)
 		if err != nil {
@@ -173,6 +174,17 @@
 	}
 }
 
+// share tells the holder what this VM has at the runners.
+func (s *Spoke) share(ctx context.Context, link *framelink.Link[frame]) {
+	for {
+		// An empty account counts too: a VM that says nothing is not known to be idle.
+		occupancy, uses := s.local.Account()
+		if !link.TrySend(frame{Account: &account{Occupancy: occupancy, Uses: uses}}) || !s.sleep(ctx, shareInterval) {
+			return
+		}
+	}
+}
+
 // useless reports whether the other side is silent, or another VM than this one should be linked to.
 func (s *Spoke) useless(address string) bool {
 	s.mu.Lock()
@@ -194,6 +206,8 @@
 		s.local.TakeRunners(f.Runners)
 	case f.Changes != nil:
 		s.local.TakeChanges(f.Changes)
+	case f.Occupancy != nil:
+		s.local.TakeOccupancy(f.Occupancy)
 	}
 }
 
@@ -209,7 +223,7 @@
 	}
 	s.mu.Lock()
 	s.heard = s.clock.Now()
-	if p.Holds {
+	if p.Holds && p.Members != nil {
 		s.members = p.Members
 	}
 	s.mu.Unlock()
--- a/internal/orders/book.go
+++ b/internal/orders/book.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,9 +20,8 @@
 	known  bool
 	models map[string][]string
 	busy   bool
-	// loading and unloading are the models of the step under way.
-	loading   string
-	unloading []string
+	// step is the one under way, empty if there is none.
+	step layout.Step
 	// brought is when each adapter came.
 	brought map[layout.Adapter]time.Time
 	// rest is until when the runner takes no step after one that brought nothing.
@@ -72,15 +72,42 @@
 	return models
 }
 
-// view returns the runner as the planner sees it.
-func (b *book) view(now time.Time) *layout.Runner {
+// expected returns what the runner has once the adapters of the step under way have come and gone; what a model that it
+// unloads has counts no more.
+func (b *book) expected() map[string][]string {
+	if len(b.step.Adapters)+len(b.step.Unload) == 0 {
+		return b.models
+	}
+	models := maps.Clone(b.models)
+	for _, model := range b.step.Unload {
+		if _, held := models[model]; held {
+			models[model] = nil
+		}
+	}
+	for _, a := range b.step.Adapters {
+		adapters, held := models[a.Model]
+		if !held {
+			continue
+		}
+		adapters = slices.DeleteFunc(slices.Clone(adapters), func(name string) bool { return name == a.Name })
+		if !a.Drop {
+			adapters = append(adapters, a.Name)
+		}
+		models[a.Model] = adapters
+	}
+	return models
+}
+
+// view returns the runner as the planner sees it, with what requests run on there.
+func (b *book) view(now time.Time, inUse map[layout.Adapter]bool) *layout.Runner {
 	return &layout.Runner{
 		Fresh:         b.fresh(now),
+		InUse:         inUse,
 		ID:            b.runner.ID,
 		FailureDomain: b.runner.FailureDomain,
-		Models:        b.models,
-		Loading:       b.loading,
-		Unloading:     b.unloading,
+		Models:        b.expected(),
+		Loading:       b.step.Load,
+		Unloading:     b.step.Unload,
 		Busy:          b.busy,
 		Leaving:       b.runner.Draining,
 		InMemory:      b.runner.InMemory,
--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -30,6 +30,10 @@
 	patience = 10 * time.Second
 	// loadSlack is what a load takes beyond its stated time while the weight store keeps up.
 	loadSlack = 30 * time.Millisecond
+	// idlePause is the pause between two looks whether an adapter is still in use, as often as the VMs tell; idlePatience is for
+	// how long its requests may take to end.
+	idlePause    = 200 * time.Millisecond
+	idlePatience = 2 * time.Second
 	// adapterTime is how long an adapter is on its way, at most, while the weight store keeps up.
 	adapterTime = 12 * time.Millisecond
 )
@@ -209,6 +213,7 @@
 			return true
 		}
 		e.announce(a.Model, a.Name, false)
+		e.awaitIdle(ctx, a)
 		if !e.send(ctx, Order{Unload: true, Model: a.Model, Adapter: a.Name}) {
 			return false
 		}
@@ -228,6 +233,21 @@
 	return true
 }
 
+// awaitIdle waits for the requests on an adapter to end, which come no more after the notice: a runner that unloads what is in
+// use takes no other order meanwhile.
+func (e *execution) awaitIdle(ctx context.Context, a layout.Adapter) {
+	use := roster.Use{
+		Runner:  e.runner.ID,
+		Model:   a.Model,
+		Adapter: a.Name,
+	}
+	for waited := time.Duration(0); waited < idlePatience && e.steward.Uses()[use]; waited += idlePause {
+		if !e.sleep(ctx, idlePause) {
+			return
+		}
+	}
+}
+
 func (e *execution) setAdapters(model string, adapters []string) {
 	e.models = maps.Clone(e.models)
 	e.models[model] = adapters
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -50,6 +50,8 @@
 	Client  Client
 	// VMs returns how many entry VMs there are.
 	VMs func() int
+	// Uses returns the models and adapters that requests run on now.
+	Uses func() map[roster.Use]bool
 	// Announce tells every VM that a runner has, or no longer has, a model or adapter.
 	Announce func([]Holding)
 	Metrics  *Metrics
@@ -154,6 +156,7 @@
 	}
 	view := s.Roster()
 	s.forget(view)
+	inUse := byRunner(s.Uses())
 	passed := now.Sub(s.credited).Seconds()
 	s.credited = now
 	for name, service := range current.Services() {
@@ -161,7 +164,7 @@
 			continue
 		}
 		s.earn(name, service.Engine, passed)
-		s.planService(ctx, service, view, now)
+		s.planService(ctx, service, view, inUse, now)
 	}
 }
 
@@ -198,7 +201,19 @@
 	return min(int(s.credit[service]), atOnce-s.storeLoads[service])
 }
 
-func (s *Steward) planService(ctx context.Context, service catalog.Service, view *roster.View, now time.Time) {
+// byRunner sorts what requests run on by runner.
+func byRunner(uses map[roster.Use]bool) map[string]map[layout.Adapter]bool {
+	sorted := make(map[string]map[layout.Adapter]bool)
+	for use := range uses {
+		if sorted[use.Runner] == nil {
+			sorted[use.Runner] = make(map[layout.Adapter]bool)
+		}
+		sorted[use.Runner][layout.Adapter{Model: use.Model, Name: use.Adapter}] = true
+	}
+	return sorted
+}
+
+func (s *Steward) planService(ctx context.Context, service catalog.Service, view *roster.View, inUse map[string]map[layout.Adapter]bool, now time.Time) {
 	var runners []*layout.Runner
 	byID := make(map[string]*layout.Runner)
 	for _, r := range view.Service(service.Name) {
@@ -208,7 +223,7 @@
 			s.books[r.ID] = b
 		}
 		b.follow(r)
-		runner := b.view(now)
+		runner := b.view(now, inUse[r.ID])
 		runner.Busy = runner.Busy || now.Before(b.rest)
 		runners = append(runners, runner)
 		byID[r.ID] = runner
@@ -249,7 +264,7 @@
 func (s *Steward) start(ctx context.Context, service catalog.Service, step layout.Step, demand layout.Demand) {
 	b := s.books[step.Runner]
 	b.busy = true
-	b.loading, b.unloading = step.Load, step.Unload
+	b.step = step
 	if step.FromStore {
 		s.credit[service.Name]--
 		s.storeLoads[service.Name]++
@@ -295,7 +310,7 @@
 		b.rest = s.Clock.Now().Add(restTime)
 	}
 	b.busy = false
-	b.loading, b.unloading = "", nil
+	b.step = layout.Step{}
 	b.orders, b.known = e.orders, e.known
 	if e.changed {
 		b.models = e.models
--- a/internal/orders/steward_test.go
+++ b/internal/orders/steward_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -201,6 +202,7 @@
 	mu      sync.Mutex
 	settled bool
 	told    []orders.Holding
+	uses    map[roster.Use]bool
 }
 
 func newWorld(t *testing.T, models int, held ...[]string) *world {
@@ -235,6 +237,7 @@
 		Settled:  w.isSettled,
 		Client:   w.runners,
 		VMs:      func() int { return 1 },
+		Uses:     w.inUse,
 		Announce: w.announce,
 		Metrics:  orders.NewMetrics(prometheus.NewRegistry()),
 		Clock:    clock,
@@ -249,6 +252,18 @@
 	return w.settled
 }
 
+func (w *world) inUse() map[roster.Use]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.uses)
+}
+
+func (w *world) use(uses map[roster.Use]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.uses = uses
+}
+
 func (w *world) announce(facts []orders.Holding) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -398,6 +413,55 @@
 	w.until(t, nil, func() bool { return w.runners.has("r0", "m0", "a3") })
 }
 
+// An adapter that requests run on is taken off a runner only once they have ended: the runner would take no other order
+// meanwhile.
+func TestAdapterInUseIsWaitedFor(t *testing.T) {
+	w := newWorld(t, 1, []string{"m0"})
+	w.run(t)
+	names := []string{"a1", "a2", "a3"}
+	uses := make(map[roster.Use]bool)
+	for _, name := range names {
+		w.steward.Missing("s", "m0", name)
+		uses[roster.Use{Runner: "r0", Model: "m0", Adapter: name}] = true
+	}
+	w.until(t, nil, func() bool {
+		return w.runners.has("r0", "m0", "a1") && w.runners.has("r0", "m0", "a2") && w.runners.has("r0", "m0", "a3")
+	})
+	w.pass(60, nil)
+	w.use(uses)
+	w.steward.Missing("s", "m0", "a4")
+	w.until(t, nil, func() bool { return w.dropTold() != "" })
+	w.pass(20, nil)
+	require.Zero(t, w.unloads())
+	w.use(nil)
+	w.until(t, nil, func() bool { return w.runners.has("r0", "m0", "a4") })
+	require.Equal(t, 1, w.unloads())
+}
+
+// dropTold returns the adapter that the VMs were told will go, if any.
+func (w *world) dropTold() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, fact := range w.told {
+		if !fact.Held {
+			return fact.Adapter
+		}
+	}
+	return ""
+}
+
+func (w *world) unloads() int {
+	w.runners.mu.Lock()
+	defer w.runners.mu.Unlock()
+	n := 0
+	for _, o := range w.runners.log {
+		if o.Unload {
+			n++
+		}
+	}
+	return n
+}
+
 // Loads from the weight store stay within its rate in every window, whatever is missing, lost or refused.
 func TestLoadsStayWithinTheRate(t *testing.T) {
 	w := newWorld(t, 24)
--- a/internal/serving/local.go
+++ b/internal/serving/local.go
@@ -78,6 +78,12 @@
 // TakeChanges implements mesh.Local.
 func (s *Server) TakeChanges(changes []roster.Change) { s.watcher.TakeChanges(changes) }
 
+// Account implements mesh.Local.
+func (s *Server) Account() (roster.Occupancy, []roster.Use) { return s.tracker.Account() }
+
+// TakeOccupancy implements mesh.Local.
+func (s *Server) TakeOccupancy(sum roster.Occupancy) { s.tracker.TakeOccupancy(sum, s.Clock.Now()) }
+
 // Rates implements mesh.Local.
 func (s *Server) Rates() []orders.Rate { return s.meter.Rates(s.Clock.Now()) }
 
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -50,6 +50,7 @@
 	steward    *orders.Steward
 	host       *mesh.Host
 	announcer  *mesh.Announcer
+	census     *mesh.Census
 	spoke      *mesh.Spoke
 	stopping   atomic.Bool
 	// settings is the newest usable settings; Settings is what the process started with.
@@ -119,6 +120,7 @@
 	}, s.Log, s.Clock, s.Boot, s.Logger)
 	s.host = mesh.NewHost(self, s, s.Clock)
 	s.announcer = mesh.NewAnnouncer(s.host, s.Clock)
+	s.census = mesh.NewCensus(s.host, s, s.Clock)
 	s.spoke = mesh.NewSpoke(self, s, s.Clock, s.Logger)
 	s.steward = orders.New(orders.Dependencies{
 		Holder:   vm.Name,
@@ -128,6 +130,7 @@
 		Settled:  s.watcher.Settled,
 		Client:   s.Orders,
 		VMs:      s.vms,
+		Uses:     s.census.Uses,
 		Announce: s.announce,
 		Metrics:  orders.NewMetrics(s.registry),
 		Clock:    s.Clock,
--- a/internal/serving/threads.go
+++ b/internal/serving/threads.go
@@ -27,6 +27,7 @@
 		s.steward.Run,
 		s.spoke.Run,
 		s.announcer.Run,
+		s.census.Run,
 		s.housekeep,
 		s.watchSettings,
 	}
