Load missing models in the order of the demand for them

Cause: a model without a replica came before any other load, also with no demand at all. Change: a missing model gains ten times the work asked of it, an unasked one twice the least gain; any replica but a last one still makes room for it. While there is too little demand to go by, all missing ones go first as before.

--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -16,6 +16,11 @@
 	hysteresis = 1.4
 	// lastReplica is the value of a model's only replica, beyond any gain.
 	lastReplica = math.MaxFloat64
+	// missingWeight is by how many times the work asked of a model without a replica counts more than work that another replica
+	// takes off the others: all of it is refused, not only later.
+	missingWeight = 10
+	// unaskedGain is the gain, in bounds for one more replica, of a model without a replica that nobody asks for just now.
+	unaskedGain = 2
 	// domainShare is the part of a gain that each replica in the same failure domain takes off it.
 	domainShare = 0.12
 	// storeShare is the part of a gain that a load from the weight store takes off it.
@@ -107,17 +112,28 @@
 	return p.demand.Work[model] * share * float64(added) / float64(asked)
 }
 
+// gain returns what one more replica of a model is worth, and the least for which one is loaded.
+func (p *plan) gain(model string) (gain, least float64) {
+	n := p.replicas[model]
+	if p.demand.requests() < leastRequests || p.demand.total() == 0 {
+		return p.value(model, n+1), lastReplica / 2
+	}
+	least = leastGain * p.demand.total() / float64(max(len(p.runners), 1))
+	if n > 0 {
+		return p.value(model, n+1), least
+	}
+	return max(missingWeight*p.demand.Work[model], unaskedGain*least), least
+}
+
+// owed reports whether a model has no replica, so that any but a last one makes room for it.
+func (p *plan) owed(model string) bool { return p.replicas[model] == 0 }
+
 // next returns the best step that is worth it.
 func (p *plan) next(store bool) (Step, bool) {
-	floor := leastGain * p.demand.total() / float64(max(len(p.runners), 1))
-	if p.demand.requests() < leastRequests {
-		floor = lastReplica / 2
-	}
 	var best Step
 	found := false
 	for _, model := range p.engine.Models {
-		n := p.replicas[model.Name]
-		gain := p.value(model.Name, n+1)
+		gain, floor := p.gain(model.Name)
 		if gain <= floor || (found && gain < best.Gain) {
 			continue
 		}
@@ -146,7 +162,7 @@
 			continue
 		}
 		victims, cost, ok := p.room(r, model)
-		if !ok || (gain < lastReplica && gain < hysteresis*cost) {
+		if !ok || (gain < lastReplica && !p.owed(model.Name) && gain < hysteresis*cost) {
 			continue
 		}
 		score := cost + p.load(r, victims) + preference(gain, p.demand.total())*domainShare*float64(domains[r.FailureDomain])
