Read the store less while the holder tells, and take a newer configuration from any VM

Change: VMs tell the holder their version five times a second and it asks for a newer one; while the holder is heard, registrations are read each six seconds and a wait for the configuration lasts 20 s, and both end at once when it is not, or when it says that the store does not answer it. A link that can't take a frame is closed. A wait for the lease lasts until the lease may be free.

--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -37,6 +37,8 @@
 
 // account is the requests of one VM at the runners, and what they use there.
 type account struct {
+	// Version is the configuration in force at the sender.
+	Version   uint64
 	Occupancy roster.Occupancy
 	Uses      []roster.Use `cbor:",omitempty"`
 }
@@ -62,6 +64,8 @@
 	Version uint64
 	// Members lists the VMs linked to the holder, itself included; it is left out while it is as told before.
 	Members []Member `cbor:",omitempty"`
+	// StoreOut tells that the sender can't read the registrations from the store.
+	StoreOut bool `cbor:",omitempty"`
 	// Lease is how far the sender has read the stream of the lease.
 	Lease logservice.Offset
 	// Resigned is the fencing number of a tenure that the sender gave up without being able to record it.
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -128,6 +128,7 @@
 	return &pulse{
 		Holds:    h.local.Holds(),
 		Version:  h.local.Version(),
+		StoreOut: h.local.StoreOut(),
 		Lease:    next,
 		Resigned: resigned,
 	}
@@ -155,6 +156,12 @@
 		if name, ok := h.sender(s); ok {
 			h.count(name, *f.Account)
 		}
+		if f.Account.Version > h.local.Version() {
+			_ = s.link.TrySend(frame{Ask: &ask{Version: h.local.Version()}})
+		}
+	case f.Configuration != nil:
+		h.local.TakeConfiguration(f.Configuration)
+		h.Pulse()
 	}
 }
 
@@ -192,12 +199,14 @@
 // Pulse tells every linked VM at once what this one is.
 func (h *Host) Pulse() { h.broadcast(frame{Pulse: h.pulse()}) }
 
-// broadcast sends a frame on every link; one that is full misses it.
+// broadcast sends a frame on every link; one that is full is closed, as the other side would go by what it missed.
 func (h *Host) broadcast(f frame) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for s := range h.sessions {
-		_ = s.link.TrySend(f)
+		if !s.link.TrySend(f) {
+			s.link.Close()
+		}
 	}
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -203,6 +203,22 @@
 	require.Eventually(t, p.other.check(func(l *local) bool { return l.version == 7 }), waitLimit, tick)
 }
 
+// A holder whose own read of the store hangs learns of a newer configuration from whoever has it.
+func TestHolderAsksForANewerConfiguration(t *testing.T) {
+	p := newPair(t)
+	p.other.with(func(l *local) { l.version = 7 })
+	p.holder.with(func(l *local) { l.version = 3 })
+	require.Eventually(t, p.holder.check(func(l *local) bool { return l.version == 7 }), waitLimit, tick)
+}
+
+func TestHolderTellsThatItCannotRead(t *testing.T) {
+	p := newPair(t)
+	require.Eventually(t, func() bool { return len(p.spoke.Members()) == 2 }, waitLimit, tick)
+	require.False(t, p.spoke.HolderOut())
+	p.holder.with(func(l *local) { l.storeOut = true })
+	require.Eventually(t, p.spoke.HolderOut, waitLimit, tick)
+}
+
 func TestRunnersAreAskedForWhileTheStoreIsOut(t *testing.T) {
 	p := newPair(t)
 	p.other.with(func(l *local) { l.storeOut = true })
--- a/internal/mesh/spoke.go
+++ b/internal/mesh/spoke.go
@@ -39,9 +39,10 @@
 
 	mu   sync.Mutex
 	link *framelink.Link[frame]
-	// heard is when the last pulse came, members what it said.
-	heard   time.Time
-	members []Member
+	// heard is when the last pulse came, members and holderOut what it said.
+	heard     time.Time
+	members   []Member
+	holderOut bool
 }
 
 // NewSpoke returns a spoke; Run keeps its link up.
@@ -66,6 +67,13 @@
 	return s.members
 }
 
+// HolderOut reports whether the holder last said that it can't read the registrations.
+func (s *Spoke) HolderOut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holderOut
+}
+
 // Bytes returns how many bytes passed on the links that this VM opened.
 func (s *Spoke) Bytes() uint64 { return s.bytes.Load() }
 
@@ -179,7 +187,12 @@
 	for {
 		// An empty account counts too: a VM that says nothing is not known to be idle.
 		occupancy, uses := s.local.Account()
-		if !link.TrySend(frame{Account: &account{Occupancy: occupancy, Uses: uses}}) || !s.sleep(ctx, shareInterval) {
+		told := &account{
+			Version:   s.local.Version(),
+			Occupancy: occupancy,
+			Uses:      uses,
+		}
+		if !link.TrySend(frame{Account: told}) || !s.sleep(ctx, shareInterval) {
 			return
 		}
 	}
@@ -200,6 +213,10 @@
 		s.pulse(link, f.Pulse)
 	case f.Holding != nil:
 		s.local.Learn(f.Holding)
+	case f.Ask != nil:
+		if s.local.Version() > f.Ask.Version {
+			_ = link.TrySend(frame{Configuration: s.local.Configuration()})
+		}
 	case f.Configuration != nil:
 		s.local.TakeConfiguration(f.Configuration)
 	case f.Runners != nil:
@@ -223,6 +240,7 @@
 	}
 	s.mu.Lock()
 	s.heard = s.clock.Now()
+	s.holderOut = p.StoreOut
 	if p.Holds && p.Members != nil {
 		s.members = p.Members
 	}
--- a/internal/registry/runners.go
+++ b/internal/registry/runners.go
@@ -35,17 +35,17 @@
 		w.logSkipped(read.Skipped)
 		w.take(read, known)
 		known, next = true, read.Next
-		w.sleep(ctx, w.pause())
+		w.rest(ctx)
 	}
 	return nil
 }
 
-// pause returns the pause until the next read of the registrations.
-func (w *Watcher) pause() time.Duration {
-	if w.settled.Load() && w.peers.Linked() {
-		return linkedPause
+// rest waits until the next read of the registrations: longer while the holder tells what it reads.
+func (w *Watcher) rest(ctx context.Context) {
+	w.sleep(ctx, runnersPause)
+	for waited := runnersPause; ctx.Err() == nil && waited < linkedPause && w.peers.Linked(); waited += linkLook {
+		w.sleep(ctx, linkLook)
 	}
-	return runnersPause
 }
 
 func (w *Watcher) outage(out bool) {
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -18,15 +18,16 @@
 
 const (
 	// configurationWait is how long one read waits for a change of the configuration. A change must be in force within three
-	// seconds also if the store fails to end the wait.
-	configurationWait = 1500 * time.Millisecond
-	// linkedWait is the same while the holder of the lease tells its version twice a second.
-	linkedWait = 8 * time.Second
+	// seconds also if the store fails to end the wait, or the answer is lost, which takes another second and a half.
+	configurationWait = 700 * time.Millisecond
+	// linkedWait is the same while the holder of the lease tells its version twice a second, and asks for a newer one.
+	linkedWait = 20 * time.Second
 	// runnersPause is the pause between two reads of the registrations; each runner registers anew about every second.
 	runnersPause = 700 * time.Millisecond
-	// linkedPause is the same while the holder of the lease tells what it reads; a runner that leaves must be known here
-	// within three seconds even if that word is lost.
-	linkedPause = 2 * time.Second
+	// linkedPause is the same while the holder of the lease tells what it reads; a link that misses a word is closed.
+	linkedPause = 6 * time.Second
+	// linkLook is the pause between two looks whether the holder still does.
+	linkLook = 100 * time.Millisecond
 	// firstPause and lastPause bound the pause after a failed read, which doubles.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -129,11 +130,27 @@
 	if !known {
 		return w.source.Configuration(ctx)
 	}
-	wait := configurationWait
-	if w.peers.Linked() {
-		wait = linkedWait
+	if !w.peers.Linked() {
+		return w.source.ConfigurationAfter(ctx, next, configurationWait)
 	}
-	return w.source.ConfigurationAfter(ctx, next, wait)
+	return w.readLinked(ctx, next)
+}
+
+// readLinked waits long for a change, but no longer than the holder tells its version.
+func (w *Watcher) readLinked(ctx context.Context, next logservice.Offset) (Configuration, error) {
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for waiting.Err() == nil && w.peers.Linked() {
+			w.sleep(waiting, linkLook)
+		}
+		cancel()
+	}()
+	read, err := w.source.ConfigurationAfter(waiting, next, linkedWait)
+	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+		return Configuration{Next: next}, nil
+	}
+	return read, err
 }
 
 // pauseWithout keeps reads apart while there is no configuration at all.
--- a/internal/registry/watcher_test.go
+++ b/internal/registry/watcher_test.go
@@ -34,6 +34,9 @@
 	waits    []time.Duration
 	newest   int
 	fullRead int
+	// stuck makes a wait for a change last until its context ends; changesRead counts the reads of registrations.
+	stuck       bool
+	changesRead int
 }
 
 func (s *source) Configuration(context.Context) (registry.Configuration, error) {
@@ -57,10 +60,17 @@
 	}
 }
 
-func (s *source) ConfigurationAfter(_ context.Context, from logservice.Offset, wait time.Duration) (registry.Configuration, error) {
+func (s *source) ConfigurationAfter(ctx context.Context, from logservice.Offset, wait time.Duration) (registry.Configuration, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.waits = append(s.waits, wait)
+	stuck := s.stuck
+	s.mu.Unlock()
+	if stuck {
+		<-ctx.Done()
+		return registry.Configuration{}, ctx.Err()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch {
 	case s.down:
 		return registry.Configuration{}, errDown
@@ -96,6 +106,7 @@
 	if s.down {
 		return registry.Runners{}, errDown
 	}
+	s.changesRead++
 	read := registry.Runners{Changes: s.changes, Next: from + 1}
 	s.changes = nil
 	return read, nil
@@ -126,6 +137,12 @@
 	p.forwarded = append(p.forwarded, changes...)
 }
 
+func (p *peers) link(linked bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.linked = linked
+}
+
 type world struct {
 	source  *source
 	peers   *peers
@@ -304,3 +321,43 @@
 		return len(w.peers.forwarded) == 2 && w.peers.forwarded[1].Runner == nil
 	})
 }
+
+// A VM that waits long for a change, as the holder tells its version, stops waiting once the holder is no longer heard.
+func TestLongWaitEndsWithTheLink(t *testing.T) {
+	w := newWorld(t, false)
+	w.peers.link(true)
+	w.source.set(func(s *source) { s.version, s.stuck = 3, true })
+	w.run(t, w.watcher.RunConfiguration)
+	w.until(t, func() bool { return w.inForce.Version() == 3 && w.source.waited() == 1 })
+	w.source.set(func(s *source) { s.version, s.stuck = 4, false })
+	require.EqualValues(t, 3, w.inForce.Version())
+	w.peers.link(false)
+	w.until(t, func() bool { return w.inForce.Version() == 4 })
+}
+
+// While the holder tells what it reads, registrations are read seldom; once it is not heard any more, at once.
+func TestRegistrationsAreReadAtOnceWithoutTheLink(t *testing.T) {
+	w := newWorld(t, false)
+	w.peers.link(true)
+	w.run(t, w.watcher.RunRunners)
+	w.until(t, func() bool { return w.source.reads() == 1 })
+	for range 40 {
+		w.clock.Advance(50 * time.Millisecond)
+		time.Sleep(tick)
+	}
+	require.Zero(t, w.source.followed())
+	w.peers.link(false)
+	w.until(t, func() bool { return w.source.followed() > 0 })
+}
+
+func (s *source) waited() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waits)
+}
+
+func (s *source) followed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changesRead
+}
--- a/internal/serving/local.go
+++ b/internal/serving/local.go
@@ -107,7 +107,7 @@
 }
 
 // Linked implements registry.Peers.
-func (s *Server) Linked() bool { return !s.Holds() && s.tenure.Heard() }
+func (s *Server) Linked() bool { return !s.Holds() && s.tenure.Heard() && !s.spoke.HolderOut() }
 
 // wants forwards what callers ask for.
 type wants struct {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -22,8 +22,9 @@
 	linkFresh = 1500 * time.Millisecond
 	// watchPause is the pause between two looks of a VM that need not read.
 	watchPause = 150 * time.Millisecond
-	// readWait is how long a read waits for the next record.
-	readWait = 300 * time.Millisecond
+	// leastWait and mostWait bound how long a read waits for the next record.
+	leastWait = 300 * time.Millisecond
+	mostWait  = time.Second
 	// settleTimeout bounds one read after a lost renewal.
 	settleTimeout = 400 * time.Millisecond
 	// claimSpread keeps the claims of several VMs apart.
--- a/internal/tenure/watch.go
+++ b/internal/tenure/watch.go
@@ -108,7 +108,7 @@
 		t.sleep(ctx, watchPause)
 		return
 	}
-	if err := t.catchUp(ctx, readWait); err != nil {
+	if err := t.catchUp(ctx, t.patience()); err != nil {
 		t.sleep(ctx, watchPause+rand.N(watchPause))
 		return
 	}
@@ -119,6 +119,16 @@
 	t.claim(ctx)
 }
 
+// patience returns how long a read may wait for the next record: until the newest one may no longer bind.
+func (t *Tenure) patience() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.known || t.last.Released {
+		return leastWait
+	}
+	return min(max(t.seen+t.options.Term-t.boot.Elapsed(), leastWait), mostWait)
+}
+
 // free reports whether the newest record no longer binds.
 func (t *Tenure) free() bool {
 	t.mu.Lock()
