Wait up to half of the objective for an adapter on its way

Cause: a request for an adapter that no runner has was refused after an eighth of its objective, 62 ms; the word to the holder, the order and the word back take 150 to 250 ms between regions, so nearly each first request for an adapter came back late or never. Change: half of the objective; the answer then still begins within it.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -17,7 +17,7 @@
 	// busyRetry is when to come back to runners that are full or away.
 	busyRetry = 300 * time.Millisecond
 	// holdShare is the part of the objective for which a request waits for an adapter on its way.
-	holdShare = 8
+	holdShare = 2
 	// holdPause is the pause between two looks for the adapter.
 	holdPause = 4 * time.Millisecond
 	// loadRetry is when to come back for a model that has to be loaded first.
