Read registrations over each new link, and let held-back removals expire in time

(1) A VM linked to the new holder after that had told of a runner's leaving, and read the store itself six seconds later. (2) A removal that came over the link within the grace after this VM's own outage was held back, and held-back removals were only looked at after a read. Found by the logs of who had and had not noted the removal; the first trace was of one runner, the second of another whose entry was removed without a word. Ruled out: lost frames (the link took all others), heartbeats out of order.

--- a/internal/mesh/spoke.go
+++ b/internal/mesh/spoke.go
@@ -43,6 +43,8 @@
 	heard     time.Time
 	members   []Member
 	holderOut bool
+	// links counts the links opened so far.
+	links uint64
 }
 
 // NewSpoke returns a spoke; Run keeps its link up.
@@ -67,6 +69,13 @@
 	return s.members
 }
 
+// Links returns how many links were opened so far.
+func (s *Spoke) Links() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links
+}
+
 // HolderOut reports whether the holder last said that it can't read the registrations.
 func (s *Spoke) HolderOut() bool {
 	s.mu.Lock()
@@ -138,6 +147,7 @@
 	defer link.Close()
 	s.mu.Lock()
 	s.link = link
+	s.links++
 	s.heard = s.clock.Now()
 	s.mu.Unlock()
 	defer func() {
--- a/internal/registry/runners.go
+++ b/internal/registry/runners.go
@@ -17,6 +17,7 @@
 	known := false
 	retry := w.newBackoff()
 	for ctx.Err() == nil {
+		link, _ := w.peers.Linked()
 		read, err := w.readRunners(ctx, known, next)
 		var expired *logservice.ExpiredError
 		if errors.As(err, &expired) {
@@ -35,15 +36,20 @@
 		w.logSkipped(read.Skipped)
 		w.take(read, known)
 		known, next = true, read.Next
-		w.rest(ctx)
+		w.rest(ctx, link)
 	}
 	return nil
 }
 
-// rest waits until the next read of the registrations: longer while the holder tells what it reads.
-func (w *Watcher) rest(ctx context.Context) {
+// rest waits until the next read of the registrations: longer while the holder tells what it reads, over the same link as when
+// they were read last.
+func (w *Watcher) rest(ctx context.Context, link uint64) {
 	w.sleep(ctx, runnersPause)
-	for waited := runnersPause; ctx.Err() == nil && waited < linkedPause && w.peers.Linked(); waited += linkLook {
+	for waited := runnersPause; ctx.Err() == nil && waited < linkedPause; waited += linkLook {
+		if now, linked := w.peers.Linked(); !linked || now != link {
+			return
+		}
+		w.expire()
 		w.sleep(ctx, linkLook)
 	}
 }
@@ -68,13 +74,20 @@
 	} else {
 		updates = w.roster.Replace(registered(read.Changes), now)
 	}
-	updates = append(updates, w.roster.Expire(now)...)
 	w.noted(updates)
 	w.forward(updates)
+	w.expire()
 	w.runnersRead.Store(true)
 	w.settle(now)
 }
 
+// expire takes runners off whose removal waited for the grace after an outage.
+func (w *Watcher) expire() {
+	updates := w.roster.Expire(w.clock.Now())
+	w.noted(updates)
+	w.forward(updates)
+}
+
 // forward hands on what changed, if this VM reads for the others.
 func (w *Watcher) forward(updates []roster.Update) {
 	if len(updates) == 0 {
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -40,8 +40,9 @@
 
 // Peers is the other entry VMs, of which the holder of the lease for orders reads the registrations most often.
 type Peers interface {
-	// Linked reports whether the holder tells this VM what it reads.
-	Linked() bool
+	// Linked reports whether the holder tells this VM what it reads, and counts the links: what it told before the present one was
+	// opened may be missing here.
+	Linked() (link uint64, ok bool)
 	// Forward hands on what was read here, if this VM is the holder.
 	Forward(changes []roster.Change)
 }
@@ -130,7 +131,7 @@
 	if !known {
 		return w.source.Configuration(ctx)
 	}
-	if !w.peers.Linked() {
+	if _, linked := w.peers.Linked(); !linked {
 		return w.source.ConfigurationAfter(ctx, next, configurationWait)
 	}
 	return w.readLinked(ctx, next)
@@ -141,10 +142,13 @@
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		for waiting.Err() == nil && w.peers.Linked() {
+		defer cancel()
+		for waiting.Err() == nil {
+			if _, linked := w.peers.Linked(); !linked {
+				return
+			}
 			w.sleep(waiting, linkLook)
 		}
-		cancel()
 	}()
 	read, err := w.source.ConfigurationAfter(waiting, next, linkedWait)
 	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
--- a/internal/registry/watcher_test.go
+++ b/internal/registry/watcher_test.go
@@ -122,13 +122,14 @@
 type peers struct {
 	mu        sync.Mutex
 	linked    bool
+	links     uint64
 	forwarded []roster.Change
 }
 
-func (p *peers) Linked() bool {
+func (p *peers) Linked() (uint64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.linked
+	return p.links, p.linked
 }
 
 func (p *peers) Forward(changes []roster.Change) {
@@ -141,6 +142,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.linked = linked
+	if linked {
+		p.links++
+	}
 }
 
 type world struct {
@@ -355,6 +359,38 @@
 	w.until(t, func() bool { return w.source.followed() > 0 })
 }
 
+// A removal that waits for the grace after an outage takes effect when the grace is over, not at the next read.
+func TestRemovalAfterAnOutageIsInTime(t *testing.T) {
+	w := newWorld(t, false)
+	w.peers.link(true)
+	w.source.set(func(s *source) { s.changes = []roster.Change{change("a", 1)} })
+	w.run(t, w.watcher.RunRunners)
+	w.until(t, func() bool { return len(w.roster.View().All()) == 1 })
+	w.source.set(func(s *source) { s.down = true })
+	w.until(t, w.watcher.Out)
+	w.source.set(func(s *source) { s.down = false })
+	w.until(t, func() bool { return !w.watcher.Out() })
+	read := w.source.followed()
+	w.watcher.TakeChanges([]roster.Change{{ID: "a"}})
+	require.Len(t, w.roster.View().All(), 1)
+	w.until(t, func() bool { return len(w.roster.View().All()) == 0 })
+	require.Equal(t, read, w.source.followed())
+}
+
+// What a new holder told others before this VM was linked to it is read from the store.
+func TestRegistrationsAreReadAtOnceOverANewLink(t *testing.T) {
+	w := newWorld(t, false)
+	w.peers.link(true)
+	w.run(t, w.watcher.RunRunners)
+	w.until(t, func() bool { return w.source.reads() == 1 })
+	w.peers.link(true)
+	for range 20 {
+		w.clock.Advance(50 * time.Millisecond)
+		time.Sleep(tick)
+	}
+	require.Eventually(t, func() bool { return w.source.followed() == 1 }, waitLimit, tick)
+}
+
 func (s *source) waited() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/serving/local.go
+++ b/internal/serving/local.go
@@ -107,7 +107,9 @@
 }
 
 // Linked implements registry.Peers.
-func (s *Server) Linked() bool { return !s.Holds() && s.tenure.Heard() && !s.spoke.HolderOut() }
+func (s *Server) Linked() (link uint64, ok bool) {
+	return s.spoke.Links(), !s.Holds() && s.tenure.Heard() && !s.spoke.HolderOut()
+}
 
 // wants forwards what callers ask for.
 type wants struct {
