--- a/internal/mesh/frame.go
+++ b/internal/mesh/frame.go
@@ -12,6 +12,8 @@
 	Address       string
 	FailureDomain string
 	Incarnation   string
+	// Slow tells that the VM's link can hardly carry what a holder sends.
+	Slow bool `cbor:",omitempty"`
 }
 
 // frame is one message on a link; one field is set.
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -61,6 +61,7 @@
 
 // Holding is a fact about what a runner holds.
 type Holding struct {
+	_       struct{} `cbor:",toarray"`
 	Runner  string
 	Model   string
 	Adapter string
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -60,6 +60,8 @@
 	// linkedOnce is set while this VM holds the lease and another one was linked; alone is since when none is any more.
 	linkedOnce bool
 	alone      time.Time
+	// held is when this VM was last seen without the lease.
+	held time.Time
 
 	callers net.Listener
 	ready   net.Listener
@@ -105,17 +107,23 @@
 // wireOrders makes what drives the runners while this VM holds the lease, and what links it to the holder otherwise.
 func (s *Server) wireOrders() {
 	vm := s.Settings.VM
+	reluctance := time.Duration(0)
+	if slowLink(vm) {
+		reluctance = slowReluctance
+	}
 	self := mesh.Member{
 		Name:          vm.Name,
 		Address:       vm.PeerAddress,
 		FailureDomain: vm.FailureDomain,
 		Incarnation:   s.incarnation,
+		Slow:          slowLink(vm),
 	}
 	s.tenure = tenure.New(tenure.Options{
 		Name:        vm.Name,
 		Address:     vm.PeerAddress,
 		Incarnation: s.incarnation,
 		Term:        s.Settings.Control.LeaseTerm,
+		Reluctance:  reluctance,
 		OnResign:    func() { s.host.Pulse() },
 	}, s.Log, s.Clock, s.Boot, s.Logger)
 	s.host = mesh.NewHost(self, s, s.Clock)
--- a/internal/settings/serving.go
+++ b/internal/settings/serving.go
@@ -25,6 +25,8 @@
 	MetricsAddress string
 	// FirstStart tells that the whole system starts for the first time, so that runners are still registering.
 	FirstStart bool
+	// LinkMbit is how much the VM's link carries, in Mbit/s; zero if that is not known.
+	LinkMbit float64
 	// Regions is the region of each failure domain.
 	Regions map[string]string
 }
@@ -132,6 +134,14 @@
 			meaning: "Whether the whole system starts for the first time.",
 			set:     truth(func(s *Serving) *bool { return &s.VM.FirstStart }),
 		},
+		{
+			section: "VM",
+			name:    "LinkMbit",
+			example: "1000",
+			allowed: between(0, 1000000),
+			meaning: "What this VM's link carries, in Mbit/s; a VM with a slow one leaves the lease for orders to others.",
+			set:     fraction(func(s *Serving) *float64 { return &s.VM.LinkMbit }, 0, 1000000),
+		},
 		{
 			section:  "Platform",
 			name:     "Store",
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -135,6 +135,8 @@
 	vms    []*vm
 	// running is how many VMs run, each of which sleeps on the clock when it has nothing to do.
 	running int
+	// reluctance is that of VMs added from now on.
+	reluctance time.Duration
 }
 
 func newWorld(t *testing.T, vms int) *world {
@@ -161,6 +163,7 @@
 		Address:     address,
 		Incarnation: run,
 		Term:        term,
+		Reluctance:  w.reluctance,
 		OnResign:    func() { v.resigned <- struct{}{} },
 	}, v.door, w.clock, v.boot, slog.New(slog.DiscardHandler))
 	w.vms = append(w.vms, v)
@@ -388,3 +391,23 @@
 	at, _ := w.vms[1].tenure.Position()
 	require.Equal(t, next, at)
 }
+
+// A reluctant VM claims a free lease only when no other does.
+func TestReluctantVMLeavesTheLeaseToOthers(t *testing.T) {
+	w := newWorld(t, 0)
+	w.reluctance = time.Second
+	w.add(t, "slow", "address-0", "run-0")
+	w.start(t, w.vms[0])
+	w.reluctance = 0
+	w.add(t, "fast", "address-1", "run-1")
+	stop := w.start(t, w.vms[1])
+	w.until(t, func() bool { return w.holds(1) })
+	require.False(t, w.holds(0))
+	stop()
+	w.until(t, func() bool { return w.holds(0) })
+}
+
+func (w *world) holds(i int) bool {
+	_, ok := w.vms[i].tenure.Fence()
+	return ok
+}
--- a/internal/tenure/watch.go
+++ b/internal/tenure/watch.go
@@ -115,7 +115,7 @@
 	if !t.free() {
 		return
 	}
-	t.sleep(ctx, rand.N(claimSpread))
+	t.sleep(ctx, t.options.Reluctance+rand.N(claimSpread))
 	t.claim(ctx)
 }
 
