--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// leastGain is the part of a runner's mean work that one more replica must take off the others.
-	leastGain = 0.18
+	// leastGain is the part of a runner's mean work that one more replica must gain.
+	leastGain = 0.36
 	// leastRequests is the requests a second below which demand says too little to move models.
 	leastRequests = 15
 	// hysteresis is by how much a replica's gain must exceed the loss of those that make room for it.
@@ -23,6 +23,8 @@
 	unaskedGain = 2
 	// domainShare is the part of a gain that each replica in the same failure domain takes off it.
 	domainShare = 0.12
+	// unplaced is the gain of a model for which no runner was found.
+	unplaced = -1
 	// storeShare is the part of a gain that a load from the weight store takes off it.
 	storeShare = 0.1
 	// waitShare is the part of a gain that unloading a model in use, whose requests must end first, takes off it.
@@ -37,11 +39,23 @@
 	// replicas counts models also where they are on their way, present only where they serve.
 	replicas map[string]int
 	present  map[string]int
-	taken    map[string]bool
+	// taken is the runners that take no step, or no further one, in this plan.
+	taken map[string]bool
+	// gains is what one more replica of each model is worth, least what it must exceed.
+	gains []float64
+	least float64
+	// order is the models worth one more, the best first.
+	order []int
 	// weights is the memory of each model, largest that of the largest, reserve that kept for adapters.
 	weights map[string]float64
-	largest float64
-	reserve float64
+	// smallest is that of the smallest model.
+	largest  float64
+	smallest float64
+	reserve  float64
+	// total is the work of all models, mean that of a runner if all had the same, loads that of each.
+	total float64
+	mean  float64
+	loads []float64
 }
 
 // Models returns steps that load models, the most urgent first; most bounds the loads from the weight store.
@@ -70,6 +84,9 @@
 			p.replicas[victim]--
 			p.present[victim]--
 		}
+		p.weigh(step.Load)
+		p.weigh(step.Unload...)
+		p.spread()
 		steps = append(steps, step)
 	}
 }
@@ -93,59 +110,17 @@
 	return counts
 }
 
-// value returns what the last of n replicas takes off the others.
-func (p *plan) value(model string, n int) float64 {
-	if n <= 1 {
-		return lastReplica
-	}
-	return p.demand.Work[model]/float64(n*(n-1)) + p.adapterValue(model, n)
-}
-
-// adapterValue returns the work for adapters that only the last of n replicas has places for.
-func (p *plan) adapterValue(model string, n int) float64 {
-	share, asked := p.demand.adapterShare(model)
-	if asked == 0 {
-		return 0
-	}
-	places := p.engine.AdapterPlaces
-	added := min(n*places, asked) - min((n-1)*places, asked)
-	return p.demand.Work[model] * share * float64(added) / float64(asked)
-}
-
-// gain returns what one more replica of a model is worth, and the least for which one is loaded.
-func (p *plan) gain(model string) (gain, least float64) {
-	n := p.replicas[model]
-	if p.demand.requests() < leastRequests || p.demand.total() == 0 {
-		return p.value(model, n+1), lastReplica / 2
-	}
-	least = leastGain * p.demand.total() / float64(max(len(p.runners), 1))
-	if n > 0 {
-		return p.value(model, n+1), least
-	}
-	return max(missingWeight*p.demand.Work[model], unaskedGain*least), least
-}
-
-// owed reports whether a model has no replica, so that any but a last one makes room for it.
-func (p *plan) owed(model string) bool { return p.replicas[model] == 0 }
-
 // next returns the best step that is worth it.
 func (p *plan) next(store bool) (Step, bool) {
-	var best Step
-	found := false
-	for _, model := range p.engine.Models {
-		gain, floor := p.gain(model.Name)
-		if gain <= floor || (found && gain < best.Gain) {
-			continue
-		}
-		if found && gain == best.Gain && p.demand.Work[model.Name] <= best.Work {
-			continue
-		}
-		step, ok := p.place(model, gain, store)
-		if ok {
-			best, found = step, true
+	p.rank()
+	for _, i := range p.order {
+		if step, ok := p.place(p.engine.Models[i], p.gains[i], store); ok {
+			return step, true
 		}
+		// Later steps leave fewer runners and less to unload.
+		p.gains[i] = unplaced
 	}
-	return best, found
+	return Step{}, false
 }
 
 // place finds the runner where the model costs least.
@@ -153,7 +128,7 @@
 	domains := p.domains(model.Name)
 	best := math.Inf(1)
 	var chosen Step
-	for _, r := range p.runners {
+	for i, r := range p.runners {
 		if r.Busy || r.Leaving || p.taken[r.ID] || r.has(model.Name) {
 			continue
 		}
@@ -165,12 +140,15 @@
 		if !ok || (gain < lastReplica && !p.owed(model.Name) && gain < hysteresis*cost) {
 			continue
 		}
-		score := cost + p.load(r, victims) + preference(gain, p.demand.total())*domainShare*float64(domains[r.FailureDomain])
+		score := cost + p.loads[i] + preference(gain, p.total)*domainShare*float64(domains[r.FailureDomain])
 		if fromStore {
-			score += preference(gain, p.demand.total()) * storeShare
+			score += preference(gain, p.total) * storeShare
+		}
+		for _, victim := range victims {
+			score -= p.part(victim)
 		}
 		if slices.ContainsFunc(victims, r.uses) {
-			score += preference(gain, p.demand.total()) * waitShare
+			score += preference(gain, p.total) * waitShare
 		}
 		if score < best {
 			best = score
@@ -189,15 +167,20 @@
 	return chosen, chosen.Runner != ""
 }
 
-// load returns the work that falls to a runner without some of its models.
-func (p *plan) load(r *Runner, without []string) float64 {
-	sum := 0.0
-	for model := range r.Models {
-		if !slices.Contains(without, model) {
-			sum += p.demand.Work[model] / float64(max(p.replicas[model], 1))
+// spread works out the work that falls to each runner.
+func (p *plan) spread() {
+	for i, r := range p.runners {
+		sum := 0.0
+		for model := range r.Models {
+			sum += p.part(model)
 		}
+		p.loads[i] = sum
 	}
-	return sum
+}
+
+// part returns the work that falls to each replica of a model.
+func (p *plan) part(model string) float64 {
+	return p.demand.Work[model] / float64(max(p.replicas[model], 1))
 }
 
 // preference scales what is only preferred by the gain, which is unbounded for a model without a replica.
@@ -222,6 +205,7 @@
 	for free < 0 {
 		victim, worth := p.cheapest(r, victims)
 		if victim == "" {
+			p.close(r, free+model.WeightsMB)
 			return nil, 0, false
 		}
 		free += p.weight(victim)
@@ -231,6 +215,13 @@
 	return victims, cost, true
 }
 
+// close leaves a runner out of the rest of the plan when not even the smallest model fits into what can be freed there.
+func (p *plan) close(r *Runner, room float64) {
+	if room < p.smallest {
+		p.taken[r.ID] = true
+	}
+}
+
 // cheapest returns the model of a runner that can best be done without.
 func (p *plan) cheapest(r *Runner, without []string) (string, float64) {
 	name, least := "", lastReplica
@@ -253,16 +244,30 @@
 
 // measure works out what depends on the configuration only.
 func (p *plan) measure() {
+	p.smallest = math.Inf(1)
 	p.weights = make(map[string]float64, len(p.engine.Models))
 	adapter := 0.0
 	for _, m := range p.engine.Models {
 		p.weights[m.Name] = m.WeightsMB
 		p.largest = max(p.largest, m.WeightsMB)
+		p.smallest = min(p.smallest, m.WeightsMB)
 		if m.Adapters > 0 {
 			adapter = max(adapter, m.AdapterMB)
 		}
 	}
 	p.reserve = adapter * float64(p.engine.AdapterPlaces)
+	p.total = p.demand.total()
+	p.mean = max(p.total, 1) / float64(max(len(p.runners), 1))
+	p.least = leastGain * p.mean
+	if p.demand.requests() < leastRequests || p.total == 0 {
+		p.least = lastReplica / 2
+	}
+	p.loads = make([]float64, len(p.runners))
+	p.spread()
+	p.gains = make([]float64, len(p.engine.Models))
+	for i, model := range p.engine.Models {
+		p.gains[i] = p.gain(model.Name)
+	}
 }
 
 // weight returns the memory of a model; one that the configuration no longer lists still takes its place.
