--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -53,31 +53,48 @@
 // best returns the best choice among the runners that are not avoided, or among all; the caller holds the lock.
 func (t *Tracker) best(view *roster.View, w wanted, now time.Time, all bool) choice {
 	var best choice
-	holders, ready := 0, 0
-	for _, runner := range view.Service(w.service) {
-		l := t.loads[runner.ID]
-		if !holds(runner, l, w, now) {
-			continue
-		}
-		holders++
-		if runner.Draining || slices.Contains(w.tried, runner.ID) || (!all && l != nil && l.avoided(now)) {
-			continue
+	if w.model == "" {
+		for _, runner := range view.Service(w.service) {
+			t.consider(&best, runner, w, now, all)
 		}
-		ready++
-		score := t.score(runner, l, now)
-		if best.runner == nil || score < best.score-similar || (score < best.score+similar && rand.IntN(ready) == 0) {
-			best.runner = runner
-			best.score = score
-			best.occupied, best.age = 0, 0
-			if l != nil {
-				best.occupied, best.age = l.occupied(), now.Sub(l.told)
-			}
+		return best
+	}
+	for _, runner := range view.Holders(w.service, w.model) {
+		t.consider(&best, runner, w, now, all)
+	}
+	// Runners that got the model lately do not show it in their registrations yet.
+	for id := range t.noted {
+		runner, known := view.Runner(id)
+		if known && runner.Service == w.service && !runner.Holds(w.model, "") {
+			t.consider(&best, runner, w, now, all)
 		}
 	}
-	best.holders, best.ready = holders, ready
 	return best
 }
 
+// consider takes a runner for the choice if it is better; the caller holds the lock.
+func (t *Tracker) consider(best *choice, runner *roster.Runner, w wanted, now time.Time, all bool) {
+	l := t.loads[runner.ID]
+	if !holds(runner, l, w, now) {
+		return
+	}
+	best.holders++
+	if runner.Draining || slices.Contains(w.tried, runner.ID) || (!all && l != nil && l.avoided(now)) {
+		return
+	}
+	best.ready++
+	score := t.score(runner, l, now)
+	if best.runner != nil && score >= best.score-similar && (score >= best.score+similar || rand.IntN(best.ready) != 0) {
+		return
+	}
+	best.runner = runner
+	best.score = score
+	best.occupied, best.age = 0, 0
+	if l != nil {
+		best.occupied, best.age = l.occupied(), now.Sub(l.told)
+	}
+}
+
 func holds(runner *roster.Runner, l *load, w wanted, now time.Time) bool {
 	if w.model == "" {
 		return true
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 )
 
@@ -130,6 +131,11 @@
 	return false, false
 }
 
+// noted reports whether any note goes still.
+func (l *load) noted(now time.Time) bool {
+	return slices.ContainsFunc(l.notes, func(n note) bool { return !now.After(n.until) })
+}
+
 func (l *load) learn(n note, now time.Time) {
 	kept := l.notes[:0]
 	for _, old := range l.notes {
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -15,6 +15,8 @@
 	loads map[string]*load
 	// uses counts this VM's requests by what they run on.
 	uses map[roster.Use]int
+	// noted is the runners of which something was learned that their registrations may not show yet.
+	noted map[string]bool
 }
 
 // NewTracker returns a tracker that knows nothing yet.
@@ -23,6 +25,7 @@
 		distances: distances,
 		loads:     make(map[string]*load),
 		uses:      make(map[roster.Use]int),
+		noted:     make(map[string]bool),
 	}
 }
 
@@ -36,14 +39,22 @@
 		held:    held,
 		until:   now.Add(lasts),
 	}, now)
+	t.noted[runner] = true
 }
 
-// Forget drops what is known of a runner.
-func (t *Tracker) Forget(runner string) {
+// Keep drops what was learned and no longer goes, and what is known of runners that are gone and have no request of this VM
+// left.
+func (t *Tracker) Keep(view *roster.View, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l, ok := t.loads[runner]; ok && l.own == 0 {
-		delete(t.loads, runner)
+	for id, l := range t.loads {
+		if !l.noted(now) {
+			delete(t.noted, id)
+		}
+		if _, known := view.Runner(id); !known && l.own == 0 {
+			delete(t.loads, id)
+			delete(t.noted, id)
+		}
 	}
 }
 
--- a/internal/roster/view.go
+++ b/internal/roster/view.go
@@ -6,12 +6,20 @@
 type View struct {
 	byID      map[string]*Runner
 	byService map[string][]*Runner
+	byModel   map[held][]*Runner
+}
+
+// held names a model of a service.
+type held struct {
+	service string
+	model   string
 }
 
 func newView(runners map[string]*Runner) *View {
 	v := &View{
 		byID:      make(map[string]*Runner, len(runners)),
 		byService: make(map[string][]*Runner),
+		byModel:   make(map[held][]*Runner),
 	}
 	for id, runner := range runners {
 		v.byID[id] = runner
@@ -25,9 +33,28 @@
 			return 1
 		})
 	}
+	for service, list := range v.byService {
+		for _, runner := range list {
+			for _, holding := range runner.Models {
+				key := held{
+					service: service,
+					model:   holding.Model,
+				}
+				v.byModel[key] = append(v.byModel[key], runner)
+			}
+		}
+	}
 	return v
 }
 
+// Holders returns the runners of a service that registered a model, in order of ID.
+func (v *View) Holders(service, model string) []*Runner {
+	return v.byModel[held{
+		service: service,
+		model:   model,
+	}]
+}
+
 // Runner returns the runner of an ID.
 func (v *View) Runner(id string) (*Runner, bool) {
 	runner, ok := v.byID[id]
--- a/internal/serving/threads.go
+++ b/internal/serving/threads.go
@@ -60,6 +60,7 @@
 		case <-s.Clock.After(housekeepingInterval):
 		}
 		s.Pool.Prune()
+		s.tracker.Keep(s.roster.View(), s.Clock.Now())
 		s.leaveIfAlone(ctx)
 		s.leaveIfSlow(ctx)
 		s.budget.Share(budgetLimits(s.current()), s.vms())
