--- /dev/null
+++ b/internal/story/doc.go
@@ -0,0 +1,2 @@
+// Package story tells from the logs of many VMs what became of one request.
+package story
--- a/pkg/cmd/explain/explain.go
+++ b/pkg/cmd/explain/explain.go
@@ -18,6 +18,9 @@
 	Client func() *operatorapi.Client
 	Target cmdutil.Target
 	About  string
+	// Request is the request whose story is told from the logs in Files.
+	Request string
+	Files   []string
 }
 
 // NewCommand returns the command; run replaces its work in tests.
@@ -30,20 +33,31 @@
 		run = explainRun
 	}
 	return &cmdutil.Command{
-		Use:     "explain",
-		Short:   "Explain where calls went, why they were refused and why models moved",
-		Example: "  $ cowsliparch explain\n  $ cowsliparch explain -about gown-advice",
+		Use:   "explain",
+		Short: "Explain where calls went, why they were refused and why models moved",
+		Example: "  $ cowsliparch explain\n  $ cowsliparch explain -about gown-advice\n" +
+			"  $ cowsliparch explain -request 9c41d07be2a35f68 entry-1.log entry-2.log\n" +
+			"  $ cat *.log | cowsliparch explain -request 9c41d07be2a35f68 -json",
+		Args: cmdutil.AnyArgs,
 		Flags: func(flags *flag.FlagSet) {
 			opts.Target.Declare(flags)
 			flags.StringVar(&opts.About, "about", "", "model, caller or request `name` (default: all)")
+			flags.StringVar(&opts.Request, "request", "", "request `id` whose story is told from the logs in the files named, or standard input")
 		},
-		Run: func(ctx context.Context, _ []string) error {
+		Run: func(ctx context.Context, args []string) error {
+			opts.Files = args
 			return run(ctx, opts)
 		},
 	}
 }
 
 func explainRun(ctx context.Context, opts *Options) error {
+	if opts.Request != "" {
+		return requestRun(opts)
+	}
+	if len(opts.Files) > 0 {
+		return &cmdutil.FlagError{Reason: "files are read only with -request"}
+	}
 	explanation, err := opts.Client().Explain(ctx, opts.About)
 	if err != nil {
 		return err
--- a/pkg/cmdutil/command.go
+++ b/pkg/cmdutil/command.go
@@ -9,6 +9,9 @@
 	"strings"
 )
 
+// AnyArgs lets a command take any number of arguments.
+const AnyArgs = -1
+
 // Command is one verb, or a noun with verbs below it.
 type Command struct {
 	// Use is the name and the arguments, such as "use <preset>".
@@ -18,7 +21,7 @@
 	Example string
 	// Flags declares the command's flags.
 	Flags func(*flag.FlagSet)
-	// Args is how many arguments the command takes.
+	// Args is how many arguments the command takes; AnyArgs stands for any number.
 	Args int
 	Run  func(ctx context.Context, args []string) error
 
@@ -53,7 +56,7 @@
 	if err != nil {
 		return &FlagError{Reason: err.Error() + "\nSee '" + path + " -h'."}
 	}
-	if len(rest) != c.Args {
+	if c.Args != AnyArgs && len(rest) != c.Args {
 		return &FlagError{Reason: fmt.Sprintf("%s takes %d arguments, not %d\nSee '%s -h'.", path, c.Args, len(rest), path)}
 	}
 	return c.Run(ctx, rest)
