Let the word that a model leaves a runner go until its unload has ended

Found by setting each decline against the last word on its runner and model. Change: the word goes for twelve seconds, and is taken back when the order does not reach the runner.

--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -118,6 +118,7 @@
 	}
 	e.announce(model, "", false)
 	if !e.sleep(ctx, noticeTime) || !e.send(ctx, Order{Unload: true, Model: model}) {
+		e.announce(model, "", true)
 		return false
 	}
 	done := e.await(ctx, patience, func(models map[string][]string) bool {
@@ -215,6 +216,7 @@
 		e.announce(a.Model, a.Name, false)
 		e.awaitIdle(ctx, a)
 		if !e.send(ctx, Order{Unload: true, Model: a.Model, Adapter: a.Name}) {
+			e.announce(a.Model, a.Name, true)
 			return false
 		}
 		e.setAdapters(a.Model, slices.DeleteFunc(slices.Clone(adapters), func(name string) bool { return name == a.Name }))
--- a/internal/orders/steward_test.go
+++ b/internal/orders/steward_test.go
@@ -438,6 +438,20 @@
 	require.Equal(t, 1, w.unloads())
 }
 
+// Where the order to unload does not reach the runner, the VMs are told that it still has the model.
+func TestUnloadThatFailsIsTakenBack(t *testing.T) {
+	w := newWorld(t, 5, []string{"m0", "m1", "m2"}, []string{"m0", "m1", "m3"})
+	w.runners.lose = func(int) (bool, bool) { return true, false }
+	w.run(t)
+	w.steward.Missing("s", "m4", "")
+	w.until(t, nil, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		n := len(w.told)
+		return n >= 2 && w.told[n-1].Held && w.told[n-2] == orders.Holding{Runner: w.told[n-1].Runner, Model: w.told[n-1].Model}
+	})
+}
+
 // dropTold returns the adapter that the VMs were told will go, if any.
 func (w *world) dropTold() string {
 	w.mu.Lock()
--- a/internal/serving/local.go
+++ b/internal/serving/local.go
@@ -9,8 +9,13 @@
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
-// learnedFor is for how long the holder's word goes before a runner's registration, which lags by about two seconds.
-const learnedFor = 3 * time.Second
+const (
+	// learnedFor is for how long the holder's word goes before a runner's registration, which lags by about two seconds.
+	learnedFor = 3 * time.Second
+	// goneFor is the same for the word that a runner gives something up: it declines requests for it at once, and keeps it in its
+	// registration until the last of them has ended, ten seconds at most.
+	goneFor = 12 * time.Second
+)
 
 // Holds implements mesh.Local.
 func (s *Server) Holds() bool {
@@ -71,7 +76,11 @@
 func (s *Server) Learn(facts []orders.Holding) {
 	now := s.Clock.Now()
 	for _, f := range facts {
-		s.tracker.Learn(f.Runner, f.Model, f.Adapter, f.Held, now, learnedFor)
+		lasts := learnedFor
+		if !f.Held {
+			lasts = goneFor
+		}
+		s.tracker.Learn(f.Runner, f.Model, f.Adapter, f.Held, now, lasts)
 	}
 }
 
