--- a/internal/orders/book.go
+++ b/internal/orders/book.go
@@ -114,3 +114,15 @@
 		OnDisk:        b.runner.OnDisk,
 	}
 }
+
+// byRunner sorts what requests run on by runner.
+func byRunner(uses map[roster.Use]bool) map[string]map[layout.Adapter]bool {
+	sorted := make(map[string]map[layout.Adapter]bool)
+	for use := range uses {
+		if sorted[use.Runner] == nil {
+			sorted[use.Runner] = make(map[layout.Adapter]bool)
+		}
+		sorted[use.Runner][layout.Adapter{Model: use.Model, Name: use.Adapter}] = true
+	}
+	return sorted
+}
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math"
 	"sync"
 	"time"
 
@@ -187,33 +186,6 @@
 	}
 }
 
-// earn lets the weight store's rate build up credit for loads.
-func (s *Steward) earn(service string, engine *catalog.Engine, seconds float64) {
-	s.credit[service] = min(s.credit[service]+engine.LoadsPerSecond*seconds, loadBurst)
-}
-
-// mayLoad returns how many loads from the weight store may begin now.
-func (s *Steward) mayLoad(service string, engine *catalog.Engine) int {
-	longest := 0.0
-	for _, m := range engine.Models {
-		longest = max(longest, m.LoadTime.Seconds())
-	}
-	atOnce := max(int(math.Ceil(engine.LoadsPerSecond*longest)), 1)
-	return min(int(s.credit[service]), atOnce-s.storeLoads[service])
-}
-
-// byRunner sorts what requests run on by runner.
-func byRunner(uses map[roster.Use]bool) map[string]map[layout.Adapter]bool {
-	sorted := make(map[string]map[layout.Adapter]bool)
-	for use := range uses {
-		if sorted[use.Runner] == nil {
-			sorted[use.Runner] = make(map[layout.Adapter]bool)
-		}
-		sorted[use.Runner][layout.Adapter{Model: use.Model, Name: use.Adapter}] = true
-	}
-	return sorted
-}
-
 func (s *Steward) planService(ctx context.Context, service catalog.Service, view *roster.View, inUse map[string]map[layout.Adapter]bool, now time.Time) {
 	var runners []*layout.Runner
 	byID := make(map[string]*layout.Runner)
