--- a/pkg/cmd/entry/entry.go
+++ b/pkg/cmd/entry/entry.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
-	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -64,13 +62,8 @@
 
 func entryRun(ctx context.Context, opts *Options) error {
 	s, err := opts.Settings(opts.Path)
-	var invalid *settings.InvalidError
-	if errors.As(err, &invalid) {
-		fmt.Fprintln(opts.IO.ErrOut, invalid.Error())
-		return &cmdutil.SilentError{Code: cmdutil.ExitUsage}
-	}
 	if err != nil {
-		return err
+		return cmdutil.SayInvalid(opts.IO, err)
 	}
 	logger := slog.New(slog.NewJSONHandler(opts.IO.ErrOut, &slog.HandlerOptions{
 		Level: s.Log.Level,
--- a/pkg/cmd/serve/serve.go
+++ b/pkg/cmd/serve/serve.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
-	"fmt"
 	"log/slog"
 	"net/http"
 	"os"
@@ -57,13 +55,8 @@
 
 func serveRun(ctx context.Context, opts *Options) error {
 	s, err := opts.Settings(opts.Path)
-	var invalid *settings.InvalidError
-	if errors.As(err, &invalid) {
-		fmt.Fprintln(opts.IO.ErrOut, invalid.Error())
-		return &cmdutil.SilentError{Code: cmdutil.ExitUsage}
-	}
 	if err != nil {
-		return err
+		return cmdutil.SayInvalid(opts.IO, err)
 	}
 	ring := logring.New(opts.IO.Out)
 	logging, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
--- a/pkg/cmd/settings/check/check.go
+++ b/pkg/cmd/settings/check/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 
@@ -45,14 +44,8 @@
 }
 
 func checkRun(opts *Options) error {
-	err := read(opts)
-	var invalid *settings.InvalidError
-	if errors.As(err, &invalid) {
-		fmt.Fprintln(opts.IO.ErrOut, invalid.Error())
-		return &cmdutil.SilentError{Code: cmdutil.ExitUsage}
-	}
-	if err != nil {
-		return err
+	if err := read(opts); err != nil {
+		return cmdutil.SayInvalid(opts.IO, err)
 	}
 	fmt.Fprintf(opts.IO.Out, "%s passes\n", opts.Path)
 	return nil
