Count copies of adapters and weigh a step in one place

A copy was counted in two places of the adapter plan; gains were weighed anew in two passes after a step, and a model's preference worked out up to three times a runner. Plans stay the same.

--- a/internal/layout/adapters.go
+++ b/internal/layout/adapters.go
@@ -83,19 +83,23 @@
 func (p *adapterPlan) count(r *Runner) {
 	for model, adapters := range r.Models {
 		for _, name := range adapters {
-			a := Adapter{
+			p.place(r, Adapter{
 				Model: model,
 				Name:  name,
-			}
-			p.copies[a]++
-			if p.domains[a] == nil {
-				p.domains[a] = make(map[string]bool)
-			}
-			p.domains[a][r.FailureDomain] = true
+			})
 		}
 	}
 }
 
+// place counts a copy of an adapter on a runner.
+func (p *adapterPlan) place(r *Runner, a Adapter) {
+	p.copies[a]++
+	if p.domains[a] == nil {
+		p.domains[a] = make(map[string]bool)
+	}
+	p.domains[a][r.FailureDomain] = true
+}
+
 // offer notes a runner's free places.
 func (p *adapterPlan) offer(r *Runner) {
 	p.free[r.ID] = p.engine.AdapterPlaces - r.adapters()
@@ -154,14 +158,9 @@
 		p.steps[r.ID] = step
 	}
 	step.Adapters = append(step.Adapters, a)
-	if a.Drop {
-		return
-	}
-	p.copies[a]++
-	if p.domains[a] == nil {
-		p.domains[a] = make(map[string]bool)
+	if !a.Drop {
+		p.place(r, a)
 	}
-	p.domains[a][r.FailureDomain] = true
 }
 
 // roomiest returns the runner with the most free places that has the model and lacks the adapter, in a failure domain
--- a/internal/layout/gain.go
+++ b/internal/layout/gain.go
@@ -55,9 +55,10 @@
 func (p *plan) work(i int) float64 { return p.demand.Work[p.engine.Models[i].Name] }
 
 // weigh works out the gains anew of the models that a step changed.
-func (p *plan) weigh(changed ...string) {
+func (p *plan) weigh(step Step) {
 	for i, model := range p.engine.Models {
-		if p.gains[i] != unplaced && slices.Contains(changed, model.Name) {
+		changed := model.Name == step.Load || slices.Contains(step.Unload, model.Name)
+		if changed && p.gains[i] != unplaced {
 			p.gains[i] = p.gain(model.Name)
 		}
 	}
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -84,8 +84,7 @@
 			p.replicas[victim]--
 			p.present[victim]--
 		}
-		p.weigh(step.Load)
-		p.weigh(step.Unload...)
+		p.weigh(step)
 		p.spread()
 		steps = append(steps, step)
 	}
@@ -126,6 +125,7 @@
 // place finds the runner where the model costs least.
 func (p *plan) place(model catalog.Model, gain float64, store bool) (Step, bool) {
 	domains := p.domains(model.Name)
+	weight := preference(gain, p.total)
 	best := math.Inf(1)
 	var chosen Step
 	for i, r := range p.runners {
@@ -140,15 +140,15 @@
 		if !ok || (gain < lastReplica && !p.owed(model.Name) && gain < hysteresis*cost) {
 			continue
 		}
-		score := cost + p.loads[i] + preference(gain, p.total)*domainShare*float64(domains[r.FailureDomain])
+		score := cost + p.loads[i] + weight*domainShare*float64(domains[r.FailureDomain])
 		if fromStore {
-			score += preference(gain, p.total) * storeShare
+			score += weight * storeShare
 		}
 		for _, victim := range victims {
 			score -= p.part(victim)
 		}
 		if slices.ContainsFunc(victims, r.uses) {
-			score += preference(gain, p.total) * waitShare
+			score += weight * waitShare
 		}
 		if score < best {
 			best = score
