Share what the threads of serve and entry wrote alike, and drop what nothing uses

pause.For waits on the passed clock for no longer than a context: four sleep methods and twenty select statements of the same shape call it. registry.cursor keeps a thread's place in a topic and handles a failed read for both threads of the watcher. mesh hands configurations on by one pair of functions on both ends of a link; framelink.Accept takes links for mesh and peer. dispatch builds what a request wants, drains an answer and decides on a repeat in one place each. Occupancy and uses are read apart: reading the uses for a plan no longer moves the mark of what was told last. The size of the system is counted without copying the members, for each send on the holder. catalog.InForce.Changed had no reader.

--- a/internal/catalog/inforce.go
+++ b/internal/catalog/inforce.go
@@ -6,14 +6,11 @@
 type InForce struct {
 	mu      sync.Mutex
 	current *Catalog
-	changed chan struct{}
 }
 
 // NewInForce returns a holder without a catalog.
 func NewInForce() *InForce {
-	return &InForce{
-		changed: make(chan struct{}),
-	}
+	return &InForce{}
 }
 
 // Current returns the catalog in force, or nil before the first.
@@ -39,14 +36,5 @@
 		return false
 	}
 	f.current = c
-	close(f.changed)
-	f.changed = make(chan struct{})
 	return true
 }
-
-// Changed returns a channel that is closed when the next catalog comes in force.
-func (f *InForce) Changed() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.changed
-}
--- a/internal/demo/publish.go
+++ b/internal/demo/publish.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/pkg/operatorapi"
 )
 
@@ -67,10 +68,8 @@
 		if w.serving() {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, w.clock, readyInterval) {
 			return ctx.Err()
-		case <-w.clock.After(readyInterval):
 		}
 	}
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/vmlist"
 )
 
@@ -86,10 +87,8 @@
 	reachable := true
 	for {
 		reachable = d.poll(ctx, &pollers, reachable)
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, d.clock, listInterval) {
 			return nil
-		case <-d.clock.After(listInterval):
 		}
 	}
 }
@@ -166,10 +165,8 @@
 func (d *Directory) pollReports(ctx context.Context, e *Endpoint) {
 	for {
 		d.PollReport(ctx, e)
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, d.clock, d.reportInterval()) {
 			return
-		case <-d.clock.After(d.reportInterval()):
 		}
 	}
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -34,7 +34,12 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	sent := c.d.Clock.Now()
-	use := c.use(pick.runner)
+	w := c.wanted()
+	use := roster.Use{
+		Runner:  pick.runner.ID,
+		Model:   w.model,
+		Adapter: w.adapter,
+	}
 	c.d.Tracker.sent(use, sent)
 	defer func() { c.d.Tracker.ended(use, c.d.Clock.Now().Sub(sent)) }()
 	stop := c.watchSilence(cancel, pick, sent)
@@ -63,15 +68,6 @@
 	return c.runnerFailed(ctx, pick, answer)
 }
 
-// use returns what the request runs on at a runner.
-func (c *call) use(runner *roster.Runner) roster.Use {
-	use := roster.Use{Runner: runner.ID}
-	if c.service.Engine != nil {
-		use.Model, use.Adapter = c.request.Model, c.request.Adapter
-	}
-	return use
-}
-
 // watchSilence ends a send when the runner has been silent towards all requests of this VM and this one may go to another
 // runner. A runner that is only busy still answers others. The watch goes on until stop is called.
 func (c *call) watchSilence(cancel context.CancelCauseFunc, pick choice, sent time.Time) (stop func()) {
@@ -121,15 +117,20 @@
 	}
 	c.sends++
 	c.mayHaveRun = true
+	return c.repeat("the runner did not answer")
+}
+
+// repeat lets a request that may have run go to another runner, where it may; if not, the message says why it failed.
+func (c *call) repeat(message string) (bool, *refusal.Refusal) {
 	if c.route.Idempotent() && c.mayTryAgain() {
 		return true, nil
 	}
-	return false, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "the runner did not answer").WithRan(refusal.Unknown)
+	return false, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, message).WithRan(refusal.Unknown)
 }
 
 // declined handles a runner's word that it did not run the request.
 func (c *call) declined(pick choice, answer *Answer) (bool, *refusal.Refusal) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxWholeBytes))
+	drain(answer)
 	c.sendFailed(pick, &DeclinedError{Status: answer.Status})
 	if answer.Misdirected && c.request.Model != "" {
 		c.d.Tracker.Learn(pick.runner.ID, c.request.Model, c.request.Adapter, false, c.d.Clock.Now(), absentFor)
@@ -146,6 +147,11 @@
 		WithRetryAfter(busyRetry)
 }
 
+// drain reads an answer to its end, which leaves its connection fit for the next request.
+func drain(answer *Answer) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxWholeBytes))
+}
+
 // DeclinedError reports a runner that declined a request without running it.
 type DeclinedError struct {
 	Status int
@@ -160,8 +166,7 @@
 	c.d.Tracker.faulted(pick.runner, serverFault, c.d.Clock.Now())
 	if serverFault && c.route.Idempotent() && (c.begun || c.hasAlternative()) && c.mayTryAgain() {
 		c.sendFailed(pick, &DeclinedError{Status: answer.Status})
-		// Read to its end, the answer leaves its connection fit for the next request.
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxWholeBytes))
+		drain(answer)
 		return true, nil
 	}
 	if c.begun {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -22,6 +23,12 @@
 	holdPause = 4 * time.Millisecond
 	// loadRetry is when to come back for a model that has to be loaded first.
 	loadRetry = 1500 * time.Millisecond
+	// lowestPriority is the last rank that runners know.
+	lowestPriority = 9
+	// connectionUse is the part, in percent, of a runner's connections that all VMs together use.
+	connectionUse = 90
+	// leastConnections is what a VM may open to a runner in any case.
+	leastConnections = 4
 )
 
 // call is one request on its way.
@@ -119,10 +126,10 @@
 		return nil
 	}
 	if c.begun {
-		c.abort("the request's time is over")
+		c.abort(errDeadline.Cause)
 		return nil
 	}
-	refused := refusal.New(http.StatusGatewayTimeout, refusal.TooLate, "the request's time is over")
+	refused := refusal.New(http.StatusGatewayTimeout, refusal.TooLate, errDeadline.Cause)
 	if c.mayHaveRun {
 		refused = refused.WithRan(refusal.Unknown)
 	}
@@ -135,8 +142,8 @@
 	c.caller.Abort()
 }
 
-// pickRunner chooses where the request goes next.
-func (c *call) pickRunner(ctx context.Context) (choice, *refusal.Refusal) {
+// wanted describes the runner that the request needs now.
+func (c *call) wanted() wanted {
 	w := wanted{
 		service: c.service.Name,
 		tried:   c.tried,
@@ -144,6 +151,12 @@
 	if c.service.Engine != nil {
 		w.model, w.adapter = c.request.Model, c.request.Adapter
 	}
+	return w
+}
+
+// pickRunner chooses where the request goes next.
+func (c *call) pickRunner(ctx context.Context) (choice, *refusal.Refusal) {
+	w := c.wanted()
 	pick := c.d.Tracker.choose(c.d.Roster(), w, c.d.Clock.Now())
 	if pick.runner == nil && pick.holders == 0 && w.model != "" {
 		c.d.Wants.Missing(w.service, w.model, w.adapter)
@@ -166,10 +179,7 @@
 		if pick.runner != nil || ctx.Err() != nil || !c.d.Clock.Now().Before(until) {
 			return pick
 		}
-		select {
-		case <-ctx.Done():
-		case <-c.d.Clock.After(holdPause):
-		}
+		pause.For(ctx, c.d.Clock, holdPause)
 	}
 }
 
@@ -195,14 +205,7 @@
 	if c.sends >= c.route.MaxSends || !c.d.Budget.Room(c.service.Name, now) {
 		return false
 	}
-	w := wanted{
-		service: c.service.Name,
-		tried:   c.tried,
-	}
-	if c.service.Engine != nil {
-		w.model, w.adapter = c.request.Model, c.request.Adapter
-	}
-	return c.d.Tracker.choose(c.d.Roster(), w, now).runner != nil
+	return c.d.Tracker.choose(c.d.Roster(), c.wanted(), now).runner != nil
 }
 
 // try describes the next send.
@@ -217,12 +220,3 @@
 	}
 	return t
 }
-
-const (
-	// lowestPriority is the last rank that runners know.
-	lowestPriority = 9
-	// connectionUse is the part, in percent, of a runner's connections that all VMs together use.
-	connectionUse = 90
-	// leastConnections is what a VM may open to a runner in any case.
-	leastConnections = 4
-)
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -77,10 +77,7 @@
 	}
 	c.sendFailed(pick, &endpoint.TruncatedError{Cause: err})
 	c.d.Tracker.judged(pick.runner, false, c.d.Clock.Now())
-	if c.route.Idempotent() && c.mayTryAgain() {
-		return true, nil
-	}
-	return false, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "the answer broke off").WithRan(refusal.Unknown)
+	return c.repeat("the answer broke off")
 }
 
 // relayStream passes whole events on as they come.
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -100,8 +100,8 @@
 	t.load(runner.ID).tell(f, now)
 }
 
-// Account returns this VM's requests at the runners, and the models and adapters that they run on.
-func (t *Tracker) Account() (roster.Occupancy, []roster.Use) {
+// Occupancy returns this VM's requests at the runners, and notes that the other VMs are told of them.
+func (t *Tracker) Occupancy() roster.Occupancy {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	own := make(roster.Occupancy)
@@ -111,13 +111,20 @@
 			own[id] = l.own
 		}
 	}
+	return own
+}
+
+// Uses returns the models and adapters that this VM's requests run on.
+func (t *Tracker) Uses() []roster.Use {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	uses := make([]roster.Use, 0, len(t.uses))
 	for use := range t.uses {
 		if use.Model != "" {
 			uses = append(uses, use)
 		}
 	}
-	return own, uses
+	return uses
 }
 
 // TakeOccupancy takes in the requests of all VMs at the runners.
--- a/internal/dispatch/tracker_test.go
+++ b/internal/dispatch/tracker_test.go
@@ -24,9 +24,8 @@
 	tracker := NewTracker(Distances{})
 	use := roster.Use{Runner: "r1", Model: "m", Adapter: "a1"}
 	tracker.sent(use, start)
-	own, uses := tracker.Account()
-	require.Equal(t, roster.Occupancy{"r1": 1}, own)
-	require.Equal(t, []roster.Use{use}, uses)
+	require.Equal(t, roster.Occupancy{"r1": 1}, tracker.Occupancy())
+	require.Equal(t, []roster.Use{use}, tracker.Uses())
 	tracker.TakeOccupancy(roster.Occupancy{"r1": 5, "r2": 3}, start)
 	tracker.sent(use, start)
 	require.Equal(t, 6, tracker.loads["r1"].occupied())
@@ -34,8 +33,7 @@
 	tracker.ended(use, time.Second)
 	tracker.ended(use, time.Second)
 	require.Equal(t, 4, tracker.loads["r1"].occupied())
-	_, uses = tracker.Account()
-	require.Empty(t, uses)
+	require.Empty(t, tracker.Uses())
 }
 
 // What a runner said of itself just now goes before an older sum.
--- a/internal/entry/snapshots.go
+++ b/internal/entry/snapshots.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/fold"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/record"
 )
 
@@ -22,10 +23,8 @@
 func (e *Entry) appendSnapshots(ctx context.Context) error {
 	for {
 		wait := snapshotCheck + rand.N(snapshotSpread*time.Duration(1+len(e.entries())))
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, e.Clock, wait) {
 			return nil
-		case <-e.Clock.After(wait):
 		}
 		every := e.Settings.Control.SnapshotEvery
 		appendSnapshot(ctx, e, e.configuration, every)
--- a/internal/entry/threads.go
+++ b/internal/entry/threads.go
@@ -9,6 +9,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/configuration"
 	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 )
 
 // demandInterval is how often demand is shared with the failure domain.
@@ -36,10 +37,8 @@
 // shareDemand hands what callers asked for here to the failure domain's planners.
 func (e *Entry) shareDemand(ctx context.Context) error {
 	for {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, e.Clock, demandInterval) {
 			return nil
-		case <-e.Clock.After(demandInterval):
 		}
 		counts := e.demand.Take()
 		if len(counts) == 0 {
@@ -54,10 +53,8 @@
 func (e *Entry) measureDemand(ctx context.Context) error {
 	last := e.Clock.Now()
 	for {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, e.Clock, demandInterval) {
 			return nil
-		case <-e.Clock.After(demandInterval):
 		}
 		now := e.Clock.Now()
 		e.meter.Observe(e.domainDemand.Take(), now.Sub(last), e.demandScale(now))
--- a/internal/framelink/link.go
+++ b/internal/framelink/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,17 @@
 	bytes *atomic.Uint64
 }
 
+// Accept takes the link that a request asks for; ok is false when it was answered with an error instead. The rest is as New
+// says.
+func Accept[F any](w http.ResponseWriter, r *http.Request, bytes *atomic.Uint64) (ctx context.Context, link *Link[F], ok bool) {
+	socket, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, nil, false
+	}
+	ctx, link = New[F](r.Context(), socket, bytes)
+	return ctx, link, true
+}
+
 // New starts a link over a socket; the context that it returns ends with the link, and bytes counts what passes.
 func New[F any](ctx context.Context, socket *websocket.Conn, bytes *atomic.Uint64) (context.Context, *Link[F]) {
 	ctx, stop := context.WithCancel(ctx)
--- a/internal/holder/duty.go
+++ b/internal/holder/duty.go
@@ -13,6 +13,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/ledger"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/placement"
 )
 
@@ -59,10 +60,8 @@
 		if d.holds(d.fence) {
 			d.work(ctx)
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, d.Clock, tick) {
 			return
-		case <-d.Clock.After(tick):
 		}
 	}
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -15,6 +15,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/fleet"
 	"github.com/cowsliparch/cowsliparch/internal/fold"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/placement"
 )
 
@@ -84,10 +85,8 @@
 	defer threads.Wait()
 	for {
 		h.sync(ctx, duties, &threads)
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, h.Clock, tick) {
 			return nil
-		case <-h.Clock.After(tick):
 		}
 	}
 }
--- a/internal/holder/send.go
+++ b/internal/holder/send.go
@@ -11,6 +11,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/fleet"
 	"github.com/cowsliparch/cowsliparch/internal/ledger"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 )
 
 const (
@@ -102,10 +103,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), recordWait)
 	defer cancel()
 	for !d.record(ctx, settlements, abandonments) {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, d.Clock, recordPause) {
 			return
-		case <-d.Clock.After(recordPause):
 		}
 	}
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 )
 
 // Outcomes that the load tool itself names; others are the refusal codes of the entries.
@@ -39,10 +41,7 @@
 	start := clock.Now()
 	for i, c := range plan(o) {
 		if wait := c.at - clock.Since(start); wait > 0 {
-			select {
-			case <-clock.After(wait):
-			case <-ctx.Done():
-			}
+			pause.For(ctx, clock, wait)
 		}
 		if ctx.Err() != nil {
 			break
--- a/internal/logservice/logstream/subscriber.go
+++ b/internal/logservice/logstream/subscriber.go
@@ -13,6 +13,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 )
 
 const (
@@ -104,10 +105,7 @@
 // sleep waits about d; the jitter keeps readers from returning to the log in step.
 func (s *Subscriber) sleep(ctx context.Context, d time.Duration) {
 	jittered := d/2 + rand.N(d)
-	select {
-	case <-ctx.Done():
-	case <-s.clock.After(jittered):
-	}
+	pause.For(ctx, s.clock, jittered)
 }
 
 func (s *Subscriber) deliver(ctx context.Context, record logservice.Record, out chan<- *message.Message) bool {
--- a/internal/mesh/announcer.go
+++ b/internal/mesh/announcer.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 )
 
 const (
@@ -55,11 +56,9 @@
 			return nil
 		case <-a.wake:
 		}
-		gather := min(time.Duration(len(a.host.Members()))*gatherPerLink, gatherAtMost)
-		select {
-		case <-ctx.Done():
+		gather := min(time.Duration(a.host.Size())*gatherPerLink, gatherAtMost)
+		if !pause.For(ctx, a.clock, gather) {
 			return nil
-		case <-a.clock.After(gather):
 		}
 		a.mu.Lock()
 		facts := a.facts
--- a/internal/mesh/census.go
+++ b/internal/mesh/census.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -51,10 +52,8 @@
 // Run tells sums until the context ends.
 func (c *Census) Run(ctx context.Context) error {
 	for {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, c.clock, shareInterval+sharePerLink*time.Duration(c.host.Size())) {
 			return nil
-		case <-c.clock.After(shareInterval + sharePerLink*time.Duration(len(c.host.Members()))):
 		}
 		if c.local.Holds() {
 			c.tell()
@@ -89,10 +88,10 @@
 // tell gives the sum to every VM, this one included. A sum without most of the others says nothing and is not told.
 func (c *Census) tell() {
 	others := c.fresh()
-	if len(others) == 0 || 2*(len(others)+1) <= len(c.host.Members()) {
+	if len(others) == 0 || 2*(len(others)+1) <= c.host.Size() {
 		return
 	}
-	sum, _ := c.local.Account()
+	sum := c.local.Occupancy()
 	for _, other := range others {
 		sum.Add(other.Occupancy)
 	}
@@ -104,8 +103,7 @@
 // adapter uses its model too.
 func (c *Census) Uses() map[roster.Use]bool {
 	all := make(map[roster.Use]bool)
-	_, own := c.local.Account()
-	note(all, own)
+	note(all, c.local.Uses())
 	for _, other := range c.fresh() {
 		note(all, other.Uses)
 	}
--- a/internal/mesh/host.go
+++ b/internal/mesh/host.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/coder/websocket"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cowsliparch/cowsliparch/internal/framelink"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -61,11 +61,10 @@
 
 // ServeHTTP takes a link until it ends.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	socket, err := websocket.Accept(w, r, nil)
-	if err != nil {
+	ctx, link, ok := framelink.Accept[frame](w, r, &h.bytes)
+	if !ok {
 		return
 	}
-	ctx, link := framelink.New[frame](r.Context(), socket, &h.bytes)
 	defer link.Close()
 	s := &session{
 		link:  link,
@@ -96,10 +95,8 @@
 			s.link.Close()
 			return
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, h.clock, pulseInterval) {
 			return
-		case <-h.clock.After(pulseInterval):
 		}
 	}
 }
@@ -156,9 +153,7 @@
 		if name, ok := h.sender(s); ok {
 			h.count(name, *f.Account)
 		}
-		if f.Account.Version > h.local.Version() {
-			_ = s.link.TrySend(frame{Ask: &ask{Version: h.local.Version()}})
-		}
+		askNewer(s.link, h.local, f.Account.Version)
 	case f.Configuration != nil:
 		h.local.TakeConfiguration(f.Configuration)
 		h.Pulse()
@@ -182,9 +177,7 @@
 }
 
 func (h *Host) answer(s *session, a *ask) {
-	if h.local.Version() > a.Version {
-		_ = s.link.TrySend(frame{Configuration: h.local.Configuration()})
-	}
+	giveNewer(s.link, h.local, a)
 	if a.Runners && !h.local.StoreOut() {
 		_ = s.link.TrySend(frame{Runners: h.local.Runners()})
 	}
@@ -223,5 +216,18 @@
 	return members
 }
 
+// Size returns how many VMs Members lists.
+func (h *Host) Size() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 1
+	for s := range h.sessions {
+		if s.member != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // Bytes returns how many bytes passed on the links that others opened.
 func (h *Host) Bytes() uint64 { return h.bytes.Load() }
--- a/internal/mesh/local.go
+++ b/internal/mesh/local.go
@@ -33,10 +33,11 @@
 	TakeChanges(changes []roster.Change)
 	// Learn takes in facts about runners.
 	Learn(facts []orders.Holding)
-	// Account returns the requests that this VM has at the runners and what they use; TakeOccupancy takes in the requests of
-	// all VMs.
-	Account() (roster.Occupancy, []roster.Use)
+	// Occupancy returns the requests that this VM has at the runners, to be told; TakeOccupancy takes in those of all VMs.
+	Occupancy() roster.Occupancy
 	TakeOccupancy(sum roster.Occupancy)
+	// Uses returns what this VM's requests run on.
+	Uses() []roster.Use
 	// Rates returns what is asked for here.
 	Rates() []orders.Rate
 	// Demand and Missing take in what a VM was asked for.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -81,11 +81,12 @@
 func (l *local) Runners() []roster.Runner            { return []roster.Runner{{ID: "r1"}} }
 func (l *local) StoreOut() bool                      { l.mu.Lock(); defer l.mu.Unlock(); return l.storeOut }
 func (l *local) TakeRunners(runners []roster.Runner) { l.with(func(l *local) { l.runners = runners }) }
-func (l *local) Account() (roster.Occupancy, []roster.Use) {
+func (l *local) Occupancy() roster.Occupancy {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return maps.Clone(l.own), l.uses
+	return maps.Clone(l.own)
 }
+func (l *local) Uses() []roster.Use                  { l.mu.Lock(); defer l.mu.Unlock(); return l.uses }
 func (l *local) TakeOccupancy(sum roster.Occupancy)  { l.with(func(l *local) { l.sum = sum }) }
 func (l *local) TakeChanges(changes []roster.Change) { l.with(func(l *local) { l.changes = changes }) }
 func (l *local) Learn(facts []orders.Holding)        { l.with(func(l *local) { l.facts = facts }) }
--- a/internal/mesh/spoke.go
+++ b/internal/mesh/spoke.go
@@ -15,6 +15,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/framelink"
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 )
 
 const (
@@ -109,7 +110,7 @@
 	for ctx.Err() == nil {
 		if s.local.Holds() {
 			s.local.Demand(s.self.Name, s.local.Rates())
-			s.sleep(ctx, reportInterval)
+			pause.For(ctx, s.clock, reportInterval)
 			continue
 		}
 		address, known := s.local.HolderAddress()
@@ -119,7 +120,7 @@
 		if known {
 			s.connect(ctx, address)
 		}
-		s.sleep(ctx, dialPause)
+		pause.For(ctx, s.clock, dialPause)
 	}
 	return nil
 }
@@ -140,7 +141,7 @@
 	cancel()
 	if err != nil {
 		event.LinkDown.Log(s.logger, slog.String("Address", address), event.Error(err))
-		s.sleep(ctx, dialPause)
+		pause.For(ctx, s.clock, dialPause)
 		return
 	}
 	ctx, link := framelink.New[frame](ctx, socket, &s.bytes)
@@ -186,7 +187,7 @@
 				Runners: true,
 			}})
 		}
-		if !s.sleep(ctx, reportInterval) {
+		if !pause.For(ctx, s.clock, reportInterval) {
 			return
 		}
 	}
@@ -196,13 +197,12 @@
 func (s *Spoke) share(ctx context.Context, link *framelink.Link[frame]) {
 	for {
 		// An empty account counts too: a VM that says nothing is not known to be idle.
-		occupancy, uses := s.local.Account()
 		told := &account{
 			Version:   s.local.Version(),
-			Occupancy: occupancy,
-			Uses:      uses,
+			Occupancy: s.local.Occupancy(),
+			Uses:      s.local.Uses(),
 		}
-		if !link.TrySend(frame{Account: told}) || !s.sleep(ctx, shareInterval) {
+		if !link.TrySend(frame{Account: told}) || !pause.For(ctx, s.clock, shareInterval) {
 			return
 		}
 	}
@@ -224,9 +224,7 @@
 	case f.Holding != nil:
 		s.local.Learn(f.Holding)
 	case f.Ask != nil:
-		if s.local.Version() > f.Ask.Version {
-			_ = link.TrySend(frame{Configuration: s.local.Configuration()})
-		}
+		giveNewer(link, s.local, f.Ask)
 	case f.Configuration != nil:
 		s.local.TakeConfiguration(f.Configuration)
 	case f.Runners != nil:
@@ -258,16 +256,5 @@
 	if p.Holds {
 		s.local.HolderSpoke(p.Lease)
 	}
-	if p.Version > s.local.Version() {
-		_ = link.TrySend(frame{Ask: &ask{Version: s.local.Version()}})
-	}
-}
-
-func (s *Spoke) sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-s.clock.After(d):
-		return true
-	}
+	askNewer(link, s.local, p.Version)
 }
--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -10,6 +10,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/layout"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -80,7 +81,7 @@
 func (e *execution) sync(ctx context.Context) bool {
 	before, err := e.report(ctx)
 	for range orderTries {
-		if !e.sleep(ctx, lagPause) {
+		if !pause.For(ctx, e.steward.Clock, lagPause) {
 			return false
 		}
 		state, reportErr := e.report(ctx)
@@ -117,7 +118,7 @@
 		return true
 	}
 	e.announce(model, "", false)
-	if !e.sleep(ctx, noticeTime) || !e.send(ctx, Order{Unload: true, Model: model}) {
+	if !pause.For(ctx, e.steward.Clock, noticeTime) || !e.send(ctx, Order{Unload: true, Model: model}) {
 		e.announce(model, "", true)
 		return false
 	}
@@ -141,7 +142,7 @@
 		return false
 	}
 	// The report that confirms the load lags; a request that comes too early is declined and goes elsewhere.
-	if e.sleep(ctx, e.loadTime(model)+loadSlack) {
+	if pause.For(ctx, e.steward.Clock, e.loadTime(model)+loadSlack) {
 		e.announce(model.Name, "", true)
 	}
 	done := e.await(ctx, patience, func(models map[string][]string) bool {
@@ -195,7 +196,7 @@
 				return false
 			}
 		}
-		if !e.sleep(ctx, pollPause) {
+		if !pause.For(ctx, e.steward.Clock, pollPause) {
 			return false
 		}
 	}
@@ -230,7 +231,7 @@
 	}
 	e.setAdapters(a.Model, append(slices.Clone(adapters), a.Name))
 	e.brought = append(e.brought, a)
-	e.sleep(ctx, adapterTime)
+	pause.For(ctx, e.steward.Clock, adapterTime)
 	e.announce(a.Model, a.Name, true)
 	return true
 }
@@ -244,7 +245,7 @@
 		Adapter: a.Name,
 	}
 	for waited := time.Duration(0); waited < idlePatience && e.steward.Uses()[use]; waited += idlePause {
-		if !e.sleep(ctx, idlePause) {
+		if !pause.For(ctx, e.steward.Clock, idlePause) {
 			return
 		}
 	}
@@ -285,12 +286,3 @@
 		Held:    held,
 	}})
 }
-
-func (e *execution) sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-e.steward.Clock.After(d):
-		return true
-	}
-}
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 )
 
 // send sends an order until it is answered, and reports whether it was accepted. Every try bears the same count of orders,
@@ -29,7 +30,7 @@
 			if errors.As(err, &unsent) && !e.registered() {
 				return false
 			}
-			e.sleep(ctx, retryPause)
+			pause.For(ctx, e.steward.Clock, retryPause)
 			continue
 		}
 		switch result {
--- a/internal/orders/steward.go
+++ b/internal/orders/steward.go
@@ -11,6 +11,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/layout"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -127,7 +128,8 @@
 			return nil
 		case <-s.Clock.After(planInterval):
 		case <-s.wake:
-			s.gather(ctx)
+			// A moment for more that is missing.
+			pause.For(ctx, s.Clock, wakePause)
 		}
 		if fence, ok := s.Lease.Fence(); ok {
 			s.plan(ctx, fence)
@@ -135,14 +137,6 @@
 	}
 }
 
-// gather waits a moment for more that is missing.
-func (s *Steward) gather(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-s.Clock.After(wakePause):
-	}
-}
-
 func (s *Steward) plan(ctx context.Context, fence uint64) {
 	current := s.Catalog()
 	if current == nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -15,6 +15,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/framelink"
 	"github.com/cowsliparch/cowsliparch/internal/modelcall"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/vmlist"
 )
 
@@ -81,10 +82,7 @@
 func (l *Link) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		l.connect(ctx)
-		select {
-		case <-ctx.Done():
-		case <-l.clock.After(l.node.heartbeat):
-		}
+		pause.For(ctx, l.clock, l.node.heartbeat)
 	}
 }
 
@@ -135,10 +133,8 @@
 		if err != nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, l.clock, l.node.heartbeat) {
 			return
-		case <-l.clock.After(l.node.heartbeat):
 		}
 	}
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/configuration"
 	"github.com/cowsliparch/cowsliparch/internal/fold"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/vmlist"
 )
 
@@ -76,10 +77,8 @@
 	defer threads.Wait()
 	for {
 		n.sync(ctx, &threads)
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, n.clock, n.heartbeat) {
 			return nil
-		case <-n.clock.After(n.heartbeat):
 		}
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/coder/websocket"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cowsliparch/cowsliparch/internal/booking"
@@ -59,11 +58,10 @@
 
 // ServeHTTP takes a link until it ends.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	socket, err := websocket.Accept(w, r, nil)
-	if err != nil {
+	ctx, c, ok := framelink.Accept[frame](w, r, &s.bytes)
+	if !ok {
 		return
 	}
-	ctx, c := framelink.New[frame](r.Context(), socket, &s.bytes)
 	defer c.Close()
 	l := &session{
 		server: s,
--- a/internal/registry/runners.go
+++ b/internal/registry/runners.go
@@ -2,40 +2,32 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/event"
-	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
 // RunRunners follows the registrations until the context ends.
 func (w *Watcher) RunRunners(ctx context.Context) error {
-	var next logservice.Offset
-	known := false
-	retry := w.newBackoff()
+	at := w.newCursor()
 	for ctx.Err() == nil {
 		link, _ := w.peers.Linked()
-		read, err := w.readRunners(ctx, known, next)
-		var expired *logservice.ExpiredError
-		if errors.As(err, &expired) {
-			known = false
-			continue
-		}
+		read, err := w.readRunners(ctx, at)
 		if err != nil {
-			retry.failed(ctx, err)
-			if retry.failures >= outageAfter {
+			at.failed(ctx, err)
+			if at.failures >= outageAfter {
 				w.outage(true)
 			}
 			continue
 		}
-		retry.succeeded()
+		followed := at.known
+		at.advanced(read.Next)
 		w.outage(false)
 		w.logSkipped(read.Skipped)
-		w.take(read, known)
-		known, next = true, read.Next
+		w.take(read, followed)
 		w.rest(ctx, link)
 	}
 	return nil
@@ -44,13 +36,13 @@
 // rest waits until the next read of the registrations: longer while the holder tells what it reads, over the same link as when
 // they were read last.
 func (w *Watcher) rest(ctx context.Context, link uint64) {
-	w.sleep(ctx, runnersPause)
+	pause.For(ctx, w.clock, runnersPause)
 	for waited := runnersPause; ctx.Err() == nil && waited < linkedPause; waited += linkLook {
 		if now, linked := w.peers.Linked(); !linked || now != link {
 			return
 		}
 		w.expire()
-		w.sleep(ctx, linkLook)
+		pause.For(ctx, w.clock, linkLook)
 	}
 }
 
@@ -59,17 +51,17 @@
 	w.roster.Outage(out, w.clock.Now())
 }
 
-func (w *Watcher) readRunners(ctx context.Context, known bool, next logservice.Offset) (Runners, error) {
-	if !known {
+func (w *Watcher) readRunners(ctx context.Context, at *cursor) (Runners, error) {
+	if !at.known {
 		return w.source.Runners(ctx)
 	}
-	return w.source.RunnersAfter(ctx, next, 0)
+	return w.source.RunnersAfter(ctx, at.next, 0)
 }
 
-func (w *Watcher) take(read Runners, known bool) {
+func (w *Watcher) take(read Runners, followed bool) {
 	now := w.clock.Now()
 	var updates []roster.Update
-	if known {
+	if followed {
 		updates = w.roster.Apply(read.Changes, now)
 	} else {
 		updates = w.roster.Replace(registered(read.Changes), now)
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -101,22 +101,14 @@
 
 // RunConfiguration follows the configuration until the context ends.
 func (w *Watcher) RunConfiguration(ctx context.Context) error {
-	var next logservice.Offset
-	known := false
-	retry := w.newBackoff()
+	at := w.newCursor()
 	for ctx.Err() == nil {
-		read, err := w.readConfiguration(ctx, known, next)
-		var expired *logservice.ExpiredError
-		if errors.As(err, &expired) {
-			known = false
-			continue
-		}
+		read, err := w.readConfiguration(ctx, at)
 		if err != nil {
-			retry.failed(ctx, err)
+			at.failed(ctx, err)
 			continue
 		}
-		retry.succeeded()
-		known, next = true, read.Next
+		at.advanced(read.Next)
 		w.logSkipped(read.Skipped)
 		if read.Catalog == nil {
 			w.pauseWithout(ctx)
@@ -127,14 +119,14 @@
 	return nil
 }
 
-func (w *Watcher) readConfiguration(ctx context.Context, known bool, next logservice.Offset) (Configuration, error) {
-	if !known {
+func (w *Watcher) readConfiguration(ctx context.Context, at *cursor) (Configuration, error) {
+	if !at.known {
 		return w.source.Configuration(ctx)
 	}
 	if _, linked := w.peers.Linked(); !linked {
-		return w.source.ConfigurationAfter(ctx, next, configurationWait)
+		return w.source.ConfigurationAfter(ctx, at.next, configurationWait)
 	}
-	return w.readLinked(ctx, next)
+	return w.readLinked(ctx, at.next)
 }
 
 // readLinked waits long for a change, but no longer than the holder tells its version.
@@ -147,7 +139,7 @@
 			if _, linked := w.peers.Linked(); !linked {
 				return
 			}
-			w.sleep(waiting, linkLook)
+			pause.For(waiting, w.clock, linkLook)
 		}
 	}()
 	read, err := w.source.ConfigurationAfter(waiting, next, linkedWait)
@@ -160,7 +152,7 @@
 // pauseWithout keeps reads apart while there is no configuration at all.
 func (w *Watcher) pauseWithout(ctx context.Context) {
 	if w.inForce.Current() == nil {
-		w.sleep(ctx, firstPause)
+		pause.For(ctx, w.clock, firstPause)
 	}
 }
 
@@ -191,10 +183,3 @@
 		event.RecordSkipped.Log(w.logger, slog.String("Key", s.Key), slog.Uint64("Offset", uint64(s.Offset)), event.Error(s.Reason))
 	}
 }
-
-func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-w.clock.After(d):
-	}
-}
--- a/internal/serving/local.go
+++ b/internal/serving/local.go
@@ -87,8 +87,11 @@
 // TakeChanges implements mesh.Local.
 func (s *Server) TakeChanges(changes []roster.Change) { s.watcher.TakeChanges(changes) }
 
-// Account implements mesh.Local.
-func (s *Server) Account() (roster.Occupancy, []roster.Use) { return s.tracker.Account() }
+// Occupancy implements mesh.Local.
+func (s *Server) Occupancy() roster.Occupancy { return s.tracker.Occupancy() }
+
+// Uses implements mesh.Local.
+func (s *Server) Uses() []roster.Use { return s.tracker.Uses() }
 
 // TakeOccupancy implements mesh.Local.
 func (s *Server) TakeOccupancy(sum roster.Occupancy) { s.tracker.TakeOccupancy(sum, s.Clock.Now()) }
--- a/internal/serving/threads.go
+++ b/internal/serving/threads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/mesh"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/settings"
 )
 
@@ -54,10 +55,8 @@
 // housekeep closes idle connections past their time and keeps the budget's share current.
 func (s *Server) housekeep(ctx context.Context) error {
 	for {
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, s.Clock, housekeepingInterval) {
 			return nil
-		case <-s.Clock.After(housekeepingInterval):
 		}
 		s.Pool.Prune()
 		s.tracker.Keep(s.roster.View(), s.Clock.Now())
@@ -75,7 +74,7 @@
 		return
 	}
 	now := s.Clock.Now()
-	if len(s.host.Members()) > 1 {
+	if s.host.Size() > 1 {
 		s.linkedOnce, s.alone = true, now
 		return
 	}
@@ -102,9 +101,8 @@
 
 // vms returns how many entry VMs share the limits, as far as the holder of the lease knows.
 func (s *Server) vms() int {
-	members := s.spoke.Members()
 	if s.Holds() {
-		members = s.host.Members()
+		return max(s.host.Size(), fewestVMs)
 	}
-	return max(len(members), fewestVMs)
+	return max(len(s.spoke.Members()), fewestVMs)
 }
--- a/internal/tenure/watch.go
+++ b/internal/tenure/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
 )
 
 // Run follows the lease until the context ends.
@@ -45,7 +46,7 @@
 
 // renew waits for the next renewal and appends it.
 func (t *Tenure) renew(ctx context.Context) {
-	if !t.sleep(ctx, t.options.Term/renewals) {
+	if !pause.For(ctx, t.clock, t.options.Term/renewals) {
 		return
 	}
 	t.mu.Lock()
@@ -75,7 +76,7 @@
 			t.options.OnResign()
 			return
 		}
-		t.sleep(ctx, watchPause)
+		pause.For(ctx, t.clock, watchPause)
 	}
 }
 
@@ -105,17 +106,17 @@
 	stopped := t.stopped
 	t.mu.Unlock()
 	if fresh || stopped {
-		t.sleep(ctx, watchPause)
+		pause.For(ctx, t.clock, watchPause)
 		return
 	}
 	if err := t.catchUp(ctx, t.patience()); err != nil {
-		t.sleep(ctx, watchPause+rand.N(watchPause))
+		pause.For(ctx, t.clock, watchPause+rand.N(watchPause))
 		return
 	}
 	if !t.free() {
 		return
 	}
-	t.sleep(ctx, t.options.Reluctance+rand.N(claimSpread))
+	pause.For(ctx, t.clock, t.options.Reluctance+rand.N(claimSpread))
 	t.claim(ctx)
 }
 
@@ -153,19 +154,9 @@
 	if err != nil {
 		var moved *logservice.MovedError
 		if !errors.As(err, &moved) {
-			t.sleep(ctx, watchPause)
+			pause.For(ctx, t.clock, watchPause)
 		}
 		return
 	}
 	t.extend(sent)
 }
-
-// sleep waits and reports whether the context goes on.
-func (t *Tenure) sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.clock.After(d):
-		return true
-	}
-}
