--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -150,7 +150,7 @@
 	return dispatch.RetryLimits{
 		Window: s.Limits.RetryWindow,
 		Ratio:  s.Limits.RetryRatio,
-		Slack:  float64(s.Limits.RetrySlack),
+		Slack:  s.Limits.RetrySlack,
 	}
 }
 
--- a/internal/settings/serving.go
+++ b/internal/settings/serving.go
@@ -40,7 +40,7 @@
 	// RetryRatio is the number of retries allowed per request, and RetrySlack the number allowed beyond that. Both count
 	// retries of all VMs within RetryWindow.
 	RetryRatio  float64
-	RetrySlack  int
+	RetrySlack  float64
 	RetryWindow time.Duration
 	// StopTimeout is the time from the stop signal until the process is killed from outside.
 	StopTimeout time.Duration
@@ -170,7 +170,7 @@
 			example:     "50",
 			allowed:     between(0, 100000),
 			description: "Retries allowed beyond the ratio in one window, counted over all VMs.",
-			set:         integer(func(s *Serving) *int { return &s.Limits.RetrySlack }, 0, 100000),
+			set:         decimal(func(s *Serving) *float64 { return &s.Limits.RetrySlack }, 0, 100000),
 		},
 		{
 			section:     "Limits",
--- a/internal/settings/serving_test.go
+++ b/internal/settings/serving_test.go
@@ -30,3 +30,18 @@
 	require.ErrorAs(t, err, &invalid)
 	require.Len(t, invalid.Faults, 4)
 }
+
+// The platform states every limit as a number that may have a fraction.
+func TestServingAcceptsFractionalLimits(t *testing.T) {
+	content := strings.NewReplacer(
+		";RetrySlack = 50", "RetrySlack = 33.1578947368421",
+		";RetryWindow = 10s", "RetryWindow = 10.5s",
+		";StopTimeout = 8s", "StopTimeout = 8.25s",
+		";LeaseTerm = 3s", "LeaseTerm = 3000.5ms",
+	).Replace(settings.ServingExample())
+	s, err := settings.ParseServing("fractions", []byte(content))
+	require.NoError(t, err)
+	require.InDelta(t, 33.158, s.Limits.RetrySlack, 0.001)
+	require.Equal(t, 10500*time.Millisecond, s.Limits.RetryWindow)
+	require.Equal(t, 8250*time.Millisecond, s.Limits.StopTimeout)
+}
