Read the store only where no link to the lease holder tells

Change: a linked VM reads neither topic; the holder's heartbeats say when its own reads are overdue (1.5 s), and a lost link makes VMs read again after a random time. VMs wait for their turn to claim in one read, which the first claim ends. A page tells its end, so no second read confirms it. A release is announced over the links. Heartbeats carry the number of members and a sample of eight. Tests: TestLinkedVMMakesNoCalls, TestReadsAreOverdueWhenStoreHangs, TestConfigurationIsReadAtOnceWhenLinkIsLost, TestStartOfManyVMsNeedsFewCalls, TestContactSavesReads, TestReleaseIsAnnounced. TestLongWaitEndsWhenLinkIsLost is replaced by the third, as there is no long wait any more; the linked case of TestWaitsAreShortWithoutHolder by the first, which allows no call. TestAtMostOneHolder advanced the clock without waiting for the VMs, so no VM could renew in time; it now waits, and requires the holder to stay the same throughout. TestDeferredRemovalDoesNotWaitForNextRead cuts the link to have the outage noticed.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -31,6 +31,7 @@
 	holder           string
 	version          uint64
 	storeUnavailable bool
+	readsOverdue     bool
 	resignedFence    uint64
 	leaseOffset      logservice.Offset
 	rates            []orders.Rate
@@ -84,6 +85,7 @@
 func (v *fakeVM) Configuration() []byte        { return []byte{byte(v.ConfigurationVersion())} }
 func (v *fakeVM) Runners() []roster.Runner     { return []roster.Runner{{ID: "r1"}} }
 func (v *fakeVM) StoreUnavailable() bool       { v.mu.Lock(); defer v.mu.Unlock(); return v.storeUnavailable }
+func (v *fakeVM) ReadsOverdue() bool           { v.mu.Lock(); defer v.mu.Unlock(); return v.readsOverdue }
 func (v *fakeVM) ReceiveRunners(runners []roster.Runner) {
 	v.update(func(v *fakeVM) { v.receivedRunners = runners })
 }
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -14,6 +14,8 @@
 	Incarnation   string
 	// SlowLink reports whether the VM's network link is too slow for the traffic of a lease holder.
 	SlowLink bool `cbor:"Slow,omitempty"`
+	// ReadsMemberCount reports that the VM takes the number of members from MemberCount, not from the list.
+	ReadsMemberCount bool `cbor:"Counted,omitempty"`
 }
 
 // frame is one message on a link. At most one field is set; an empty frame only shows that the sender is alive.
@@ -66,7 +68,9 @@
 	HoldsLease bool `cbor:"Holds"`
 	// Version is the version of the sender's active configuration.
 	Version uint64
-	// Members lists the holder and the VMs linked to it; omitted unless it changed since it was last sent.
+	// MemberCount is the number of the holder and the VMs linked to it.
+	MemberCount int `cbor:"Count,omitempty"`
+	// Members lists some of them; omitted unless they changed since it was last sent.
 	Members []Member `cbor:",omitempty"`
 	// StoreUnavailable reports that the sender can't read the registrations from the store.
 	StoreUnavailable bool `cbor:"StoreOut,omitempty"`
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,8 @@
 	heartbeatInterval = 500 * time.Millisecond
 	// linkTimeout is how long an accepted link may receive no frame before it is closed.
 	linkTimeout = 2 * time.Second
+	// memberSampleSize is how many members a heartbeat lists at most: enough to find one that still runs after the holder failed.
+	memberSampleSize = 8
 )
 
 // Hub serves the links that other VMs open to this one.
@@ -114,18 +117,32 @@
 	version := h.membersVersion
 	h.mu.Unlock()
 	if beat.HoldsLease && s.sentMembersVersion != version {
-		beat.Members = h.Members()
+		beat.Members = h.membersFor(s)
 		s.sentMembersVersion = version
 	}
 	return beat
 }
 
+// membersFor returns the members to send on a link: a random sample, or all to a VM of a release that counts the list.
+func (h *Hub) membersFor(s *session) []Member {
+	members := h.Members()
+	h.mu.Lock()
+	countsList := s.member == nil || !s.member.ReadsMemberCount
+	h.mu.Unlock()
+	if countsList || len(members) <= memberSampleSize {
+		return members
+	}
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:memberSampleSize]
+}
+
 func (h *Hub) heartbeat() *heartbeat {
 	offset, resigned := h.local.LeaseStatus()
 	return &heartbeat{
 		HoldsLease:       h.local.HoldsLease(),
 		Version:          h.local.ConfigurationVersion(),
-		StoreUnavailable: h.local.StoreUnavailable(),
+		StoreUnavailable: h.local.StoreUnavailable() || h.local.ReadsOverdue(),
+		MemberCount:      h.MemberCount(),
 		LeaseOffset:      offset,
 		ResignedFence:    resigned,
 	}
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -26,6 +26,8 @@
 	Runners() []roster.Runner
 	// StoreUnavailable reports whether this VM can't read the store.
 	StoreUnavailable() bool
+	// ReadsOverdue reports whether this VM's newest read of the store is too old for other VMs to rely on.
+	ReadsOverdue() bool
 	// ReceiveConfiguration handles a configuration that another VM sent.
 	ReceiveConfiguration(encoded []byte)
 	// ReceiveRunners handles the list of registrations that another VM knows.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -43,6 +43,7 @@
 	// lastHeartbeat is when the newest heartbeat arrived; members and holderStoreUnavailable are from heartbeats.
 	lastHeartbeat          time.Time
 	members                []Member
+	memberCount            int
 	holderStoreUnavailable bool
 	// linksOpened counts the links opened so far.
 	linksOpened uint64
@@ -63,6 +64,13 @@
 	}
 }
 
+// MemberCount returns the number of VMs that the lease holder last reported.
+func (s *Spoke) MemberCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.memberCount
+}
+
 // Members returns the VMs that the lease holder last listed.
 func (s *Spoke) Members() []Member {
 	s.mu.Lock()
@@ -253,6 +261,10 @@
 	if beat.HoldsLease && beat.Members != nil {
 		s.members = beat.Members
 	}
+	if beat.HoldsLease {
+		// Holders of an older release only list the members.
+		s.memberCount = max(beat.MemberCount, len(s.members))
+	}
 	s.mu.Unlock()
 	if beat.HoldsLease {
 		s.local.HolderHeartbeat(beat.LeaseOffset)
--- a/internal/logservice/page.go
+++ b/internal/logservice/page.go
@@ -7,4 +7,6 @@
 	First Offset
 	// Next is the offset at which the next page starts.
 	Next Offset
+	// End is the offset after the newest record, or 0 if the reader did not learn it.
+	End Offset
 }
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -22,9 +22,11 @@
 	contactTimeout = 1500 * time.Millisecond
 	// watchInterval is the wait between two checks by a VM that need not read the stream.
 	watchInterval = 150 * time.Millisecond
+	// contactGrace is how long after the first record of a holder its first message over a link is awaited.
+	contactGrace = 600 * time.Millisecond
 	// minReadWait and maxReadWait bound how long a read waits for the next record.
 	minReadWait = 300 * time.Millisecond
-	maxReadWait = time.Second
+	maxReadWait = 4 * time.Second
 	// resolveReadTimeout bounds one read of the stream after a renewal of unknown outcome.
 	resolveReadTimeout = 400 * time.Millisecond
 	// claimJitter bounds the random delay that keeps the claims of several VMs apart.
@@ -39,7 +41,7 @@
 	Term        time.Duration
 	// ClaimDelay is how much later than others this VM claims a free lease.
 	ClaimDelay time.Duration
-	// OnResign is called when a tenure is given up without a record, so that other VMs learn of it immediately.
+	// OnResign is called when a tenure is given up, so that other VMs learn of it before they read the stream.
 	OnResign func()
 }
 
@@ -60,6 +62,8 @@
 	// newestSeenAt is when the newest record was first seen here; like all times here, it is the time since the VM booted.
 	newestSeenAt time.Duration
 	hasRecord    bool
+	// holderChangedAt is when the first record of the newest holder, or its release, was seen here.
+	holderChangedAt time.Duration
 	// fence and expiresAt are those of this VM's own tenure; fence is 0 if there is none.
 	fence     uint64
 	expiresAt time.Duration
@@ -69,7 +73,7 @@
 	pendingSentAt   time.Duration
 	// lastContact is when the holder last sent a message over its link.
 	lastContact time.Duration
-	// resignedFence is the fencing token of an own tenure given up without a record, peerResignedFence the highest one that
+	// resignedFence is the fencing token of the newest own tenure that was given up, peerResignedFence the highest one that
 	// another VM gave up.
 	resignedFence     uint64
 	peerResignedFence uint64
@@ -77,6 +81,8 @@
 	stopped bool
 	// backoffUntil is the time until which this VM leaves the lease to others.
 	backoffUntil time.Duration
+	// cancelRead ends the newest read that waits for a record.
+	cancelRead context.CancelFunc
 }
 
 // New returns a Lease; Run tracks and claims the lease.
@@ -88,6 +94,7 @@
 		bootClock:   bootClock,
 		logger:      logger,
 		lastContact: -contactTimeout,
+		cancelRead:  func() {},
 	}
 }
 
@@ -128,8 +135,7 @@
 	return l.bootClock.Elapsed()-l.lastContact < contactTimeout
 }
 
-// ReadOffset returns the offset up to which the stream was read, and the fencing token of a tenure that this VM gave up
-// without a record.
+// ReadOffset returns the offset up to which the stream was read, and the fencing token of a tenure that this VM gave up.
 func (l *Lease) ReadOffset() (next logservice.Offset, resigned uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -145,6 +151,7 @@
 	}
 	l.peerResignedFence = fence
 	l.lastContact = -contactTimeout
+	l.cancelRead()
 }
 
 // Release gives up the lease for good, so that another VM can claim it immediately.
@@ -171,6 +178,10 @@
 		return
 	}
 	event.LeaseReleased.Log(l.logger, slog.Uint64("Fence", fence))
+	l.mu.Lock()
+	l.resignedFence = fence
+	l.mu.Unlock()
+	l.options.OnResign()
 }
 
 // FenceRejected ends the tenure of a fencing token because a runner has seen a higher one.
--- a/internal/orderlease/lease_test.go
+++ b/internal/orderlease/lease_test.go
@@ -28,6 +28,17 @@
 	mu      sync.Mutex
 	records []logservice.Record
 	first   logservice.Offset
+	// appended is closed and replaced at each append.
+	appended chan struct{}
+	// reads and appends count the calls.
+	reads   int
+	appends int
+}
+
+func (s *stream) counts() (reads, appends int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.appends
 }
 
 func (s *stream) end() logservice.Offset { return s.first + logservice.Offset(len(s.records)) }
@@ -61,10 +72,13 @@
 	}
 	c.stream.mu.Lock()
 	defer c.stream.mu.Unlock()
+	c.stream.appends++
 	if at != c.stream.end() {
 		return &logservice.EndMismatchError{Stream: name, End: c.stream.end()}
 	}
 	c.stream.records = append(c.stream.records, logservice.Record{Offset: at, Payload: payload})
+	close(c.stream.appended)
+	c.stream.appended = make(chan struct{})
 	if dropResponses {
 		return &logservice.ResponseLostError{Stream: name, Cause: errDown}
 	}
@@ -75,11 +89,19 @@
 	if down, _ := c.faults(); down {
 		return logservice.Page{}, &logservice.UnavailableError{Stream: name, Cause: errDown}
 	}
+	c.stream.mu.Lock()
+	c.stream.reads++
+	appended := c.stream.appended
+	c.stream.mu.Unlock()
 	page := c.page(from)
 	if len(page.Records) == 0 && wait > 0 {
+		timer := c.clock.NewTimer(wait)
+		defer timer.Stop()
 		select {
 		case <-ctx.Done():
-		case <-c.clock.After(wait):
+			return logservice.Page{}, &logservice.UnavailableError{Stream: name, Cause: ctx.Err()}
+		case <-timer.Chan():
+		case <-appended:
 		}
 		page = c.page(from)
 	}
@@ -89,7 +111,7 @@
 func (c *logClient) page(from logservice.Offset) logservice.Page {
 	c.stream.mu.Lock()
 	defer c.stream.mu.Unlock()
-	page := logservice.Page{First: c.stream.first, Next: max(from, c.stream.first)}
+	page := logservice.Page{First: c.stream.first, Next: max(from, c.stream.first), End: c.stream.end()}
 	if from < c.stream.first {
 		return page
 	}
@@ -142,7 +164,7 @@
 func newFixture(t *testing.T, vms int) *fixture {
 	t.Helper()
 	f := &fixture{
-		stream: &stream{},
+		stream: &stream{appended: make(chan struct{})},
 		clock:  clockwork.NewFakeClock(),
 	}
 	for i := range vms {
@@ -236,11 +258,12 @@
 	f.startAll(t)
 	holder := f.waitForHolder(t)
 	before := fence(holder)
-	for range 500 {
-		f.clock.Advance(20 * time.Millisecond)
+	for started := f.clock.Now(); f.clock.Since(started) < 10*time.Second; {
+		until := f.clock.Now().Add(20 * time.Millisecond)
+		f.advanceUntil(t, func() bool { return !f.clock.Now().Before(until) })
 		require.LessOrEqual(t, len(f.holders()), 1)
+		require.Equal(t, before, fence(holder))
 	}
-	f.advanceUntil(t, func() bool { return fence(holder) == before })
 }
 
 func TestSuccessorHasHigherFence(t *testing.T) {
@@ -413,3 +436,67 @@
 	_, ok := f.vms[i].lease.Fence()
 	return ok
 }
+
+// When hundreds of VMs start at once, those whose turn to claim comes later must learn of the first claim by the read in
+// which they wait, and append nothing.
+func TestStartOfManyVMsNeedsFewCalls(t *testing.T) {
+	const fast, slow = 6, 60
+	f := newFixture(t, fast)
+	f.claimDelay = time.Second
+	for i := range slow {
+		f.addVM(t, fmt.Sprintf("slow-%d", i), fmt.Sprintf("slow-address-%d", i), fmt.Sprintf("slow-run-%d", i))
+	}
+	f.startAll(t)
+	f.waitForHolder(t)
+	f.advanceUntil(t, func() bool {
+		for _, v := range f.vms {
+			if _, known := v.lease.Holder(); !known {
+				return false
+			}
+		}
+		return true
+	})
+	reads, appends := f.stream.counts()
+	require.LessOrEqual(t, appends, fast)
+	require.LessOrEqual(t, reads, fast+slow+fast, "one read for each VM, and a second one for those whose claim came too late")
+}
+
+// While the holder sends messages over a link, and shortly after its first record, no VM needs to read the stream.
+func TestContactSavesReads(t *testing.T) {
+	f := newFixture(t, 2)
+	f.start(t, f.vms[0])
+	f.advanceUntil(t, func() bool { return f.holds(0) })
+	f.start(t, f.vms[1])
+	f.advanceUntil(t, func() bool { _, known := f.vms[1].lease.Holder(); return known })
+	before, _ := f.stream.counts()
+	for started := f.clock.Now(); f.clock.Since(started) < 10*time.Second; {
+		next, _ := f.vms[0].lease.ReadOffset()
+		f.vms[1].lease.HolderSeen(next)
+		until := f.clock.Now().Add(500 * time.Millisecond)
+		f.advanceUntil(t, func() bool { return !f.clock.Now().Before(until) })
+	}
+	after, _ := f.stream.counts()
+	require.Equal(t, before, after)
+}
+
+// A planned stop of the holder must not leave the lease free until the other VMs miss its messages.
+func TestReleaseIsAnnounced(t *testing.T) {
+	f := newFixture(t, 2)
+	f.start(t, f.vms[0])
+	f.advanceUntil(t, func() bool { return f.holds(0) })
+	f.start(t, f.vms[1])
+	f.advanceUntil(t, func() bool { _, known := f.vms[1].lease.Holder(); return known })
+	next, _ := f.vms[0].lease.ReadOffset()
+	f.vms[1].lease.HolderSeen(next)
+	f.vms[0].lease.Release(t.Context())
+	select {
+	case <-f.vms[0].resigned:
+	default:
+		require.Fail(t, "the release was not announced")
+	}
+	_, resigned := f.vms[0].lease.ReadOffset()
+	released := f.clock.Now()
+	f.vms[1].lease.HolderResigned(resigned)
+	f.advanceUntil(t, func() bool { return f.holds(1) })
+	require.Less(t, f.clock.Since(released), time.Second)
+}
--- a/internal/orderlease/stream.go
+++ b/internal/orderlease/stream.go
@@ -42,7 +42,8 @@
 	return sent, nil
 }
 
-// catchUp reads the records that are not yet known, waiting up to wait for the first one.
+// catchUp reads the records that are not yet known, waiting up to wait for the first one. It reads a page more than needed only
+// if the log does not tell where the stream ends.
 func (l *Lease) catchUp(ctx context.Context, wait time.Duration) error {
 	for {
 		l.mu.Lock()
@@ -63,6 +64,9 @@
 			}
 		}
 		l.mu.Unlock()
+		if page.End > 0 && page.Next >= page.End {
+			return nil
+		}
 		wait = 0
 	}
 }
@@ -81,6 +85,9 @@
 // apply makes a record the newest one; the caller holds the lock.
 func (l *Lease) apply(offset logservice.Offset, record Record) {
 	changed := record.Incarnation != l.newest.Incarnation || record.Released
+	if changed {
+		l.holderChangedAt = l.bootClock.Elapsed()
+	}
 	l.nextOffset = offset + 1
 	l.newest = record
 	l.hasRecord = true
--- a/internal/orderlease/watch.go
+++ b/internal/orderlease/watch.go
@@ -98,35 +98,62 @@
 	l.expiresAt = max(l.expiresAt, sent+l.options.Term)
 }
 
-// watch checks whether the lease is free, and claims it if so.
+// watch checks whether the lease is free, and claims it if so. It waits in a read of the stream until this VM's turn to claim
+// comes, so that the VMs whose turn is later learn of the first claim by that read and append nothing.
 func (l *Lease) watch(ctx context.Context) {
-	l.mu.Lock()
-	recent := l.bootClock.Elapsed()-l.lastContact < contactTimeout
-	stopped := l.stopped
-	l.mu.Unlock()
-	if recent || stopped {
+	if l.needNotRead() {
 		pause.For(ctx, l.clock, watchInterval)
 		return
 	}
-	if err := l.catchUp(ctx, l.readWait()); err != nil {
+	known := l.readOffset()
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.setCancelRead(cancel)
+	if err := l.catchUp(readCtx, l.timeToClaim()); err != nil {
 		pause.For(ctx, l.clock, watchInterval+rand.N(watchInterval))
 		return
 	}
-	if !l.claimable() {
-		return
+	if l.readOffset() == known && l.claimable() {
+		l.claim(ctx)
 	}
-	pause.For(ctx, l.clock, l.options.ClaimDelay+rand.N(claimJitter))
-	l.claim(ctx)
 }
 
-// readWait returns how long a read may wait for the next record: until the newest one may have expired.
-func (l *Lease) readWait() time.Duration {
+// needNotRead reports whether the stream need not be read now: the holder is in contact or is expected to be soon, or this VM
+// has released the lease for good.
+func (l *Lease) needNotRead() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.bootClock.Elapsed()
+	awaited := l.hasRecord && !l.newest.Released && !l.free() && now-l.holderChangedAt < contactGrace
+	return l.stopped || awaited || now-l.lastContact < contactTimeout
+}
+
+// setCancelRead sets what ends the present read of the stream when the holder resigns.
+func (l *Lease) setCancelRead(cancel context.CancelFunc) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cancelRead = cancel
+}
+
+func (l *Lease) readOffset() logservice.Offset {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.hasRecord || l.newest.Released {
-		return minReadWait
+	return l.nextOffset
+}
+
+// timeToClaim returns how long from now this VM may claim the lease unless a record arrives before.
+func (l *Lease) timeToClaim() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.bootClock.Elapsed()
+	wait := max(l.backoffUntil-now, 0)
+	if !l.free() {
+		wait = max(wait, l.newestSeenAt+l.options.Term-now)
+	}
+	if !l.hasRecord {
+		wait = max(wait, minReadWait)
 	}
-	return min(max(l.newestSeenAt+l.options.Term-l.bootClock.Elapsed(), minReadWait), maxReadWait)
+	return min(wait+l.options.ClaimDelay+rand.N(claimJitter), maxReadWait)
 }
 
 // claimable reports whether the lease is free and this VM may claim it.
@@ -136,6 +163,11 @@
 	if l.fence != 0 || l.stopped || l.bootClock.Elapsed() < l.backoffUntil {
 		return false
 	}
+	return l.free()
+}
+
+// free reports whether no VM can hold the lease any more; the caller holds the lock.
+func (l *Lease) free() bool {
 	return !l.hasRecord || l.newest.Released || l.bootClock.Elapsed()-l.newestSeenAt > l.options.Term || l.resignedByHolder() || l.heldByFormerRun()
 }
 
--- a/internal/registry/runners.go
+++ b/internal/registry/runners.go
@@ -25,25 +25,23 @@
 		}
 		incremental := c.synced
 		c.succeeded(read.Next)
+		w.recordRead(&w.runnersReadAt)
 		w.setStoreUnavailable(false)
 		w.logSkipped(read.Skipped)
 		w.applyRunners(read, incremental)
-		w.waitForNextRead(ctx, link)
-	}
-	return nil
-}
-
-// waitForNextRead waits until the next read of the registrations. It waits longer while the lease holder forwards what it
-// reads over the same link as at the last read.
-func (w *Watcher) waitForNextRead(ctx context.Context, link uint64) {
-	pause.For(ctx, w.clock, pollInterval)
-	for waited := pollInterval; ctx.Err() == nil && waited < linkedPollInterval; waited += linkCheckInterval {
-		if current, linked := w.peers.LinkedToHolder(); !linked || current != link {
-			return
+		readAt := w.clock.Now()
+		if incremental {
+			pause.For(ctx, w.clock, pollInterval)
+		} else {
+			w.awaitLink(ctx, startLinkWait)
+		}
+		// What the holder forwarded before the present link was opened may be missing here, so a new link needs a read.
+		w.waitWhileCovered(ctx, &w.runnersReadAt, func() bool { return w.linkedOver(link) })
+		if w.clock.Since(readAt) > fullReadAfter {
+			c.synced = false
 		}
-		w.applyDeferredRemovals()
-		pause.For(ctx, w.clock, linkCheckInterval)
 	}
+	return nil
 }
 
 func (w *Watcher) setStoreUnavailable(unavailable bool) {
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -11,8 +11,6 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/event"
-	"github.com/cowsliparch/cowsliparch/internal/logservice"
-	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -20,16 +18,23 @@
 	// configurationWait is how long one read waits for a configuration change. A change must be active within three seconds,
 	// even if the store fails to end the wait or its response is lost; a lost response is noticed 1.5 s after the wait.
 	configurationWait = 700 * time.Millisecond
-	// linkedConfigurationWait replaces configurationWait while the lease holder sends its configuration version twice a
-	// second; this VM then requests the holder's configuration if it is newer.
-	linkedConfigurationWait = 20 * time.Second
 	// pollInterval is the pause between two reads of the registrations; each runner renews its registration about every second.
 	pollInterval = 700 * time.Millisecond
-	// linkedPollInterval replaces pollInterval while the lease holder forwards what it reads. It can be long because a link
-	// that loses a message is closed.
-	linkedPollInterval = 6 * time.Second
+	// startLinkWait replaces both after the first read of a process: a link to the lease holder, which makes further reads
+	// needless, is usually open by then.
+	startLinkWait = 1500 * time.Millisecond
 	// linkCheckInterval is the pause between two checks whether the link to the lease holder is still up.
 	linkCheckInterval = 100 * time.Millisecond
+	// linkLossJitter bounds the random pause before the first read after a link was lost, because all VMs lose theirs at once
+	// when the lease holder fails.
+	linkLossJitter = 300 * time.Millisecond
+	// fullReadAfter is the time since the last read after which all registrations are read again in place of the changes: each
+	// runner's renewals since then are more than one list of all runners.
+	fullReadAfter = 4 * time.Second
+	// maxReadAge is how old the newest read of a topic may be before this VM, as lease holder, counts as cut off from the store:
+	// other VMs then read the store themselves. With the time for that, it must be shorter than the time within which a change
+	// must be active.
+	maxReadAge = 1500 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed read, which doubles with each failure.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
@@ -40,7 +45,8 @@
 	outageThreshold = 2
 )
 
-// Peers connects the watcher to the other entry VMs. Of all VMs, the lease holder reads the registrations most often.
+// Peers connects the watcher to the other entry VMs. Of all VMs, only the lease holder and those without a link to it read the
+// store.
 type Peers interface {
 	// LinkedToHolder reports whether the lease holder forwards what it reads to this VM, and returns the number of links opened
 	// so far: what the holder forwarded before the current link was opened may be missing here.
@@ -69,6 +75,10 @@
 	mu         sync.Mutex
 	// lastNewRunner is when the newest runner appeared.
 	lastNewRunner time.Time
+	// configurationReadAt and runnersReadAt are when the newest successful read of each topic ended, or when this VM was last
+	// linked to the lease holder and need not read it.
+	configurationReadAt time.Time
+	runnersReadAt       time.Time
 }
 
 // EncodedConfiguration is an encoded configuration, as stored, with its version.
@@ -101,6 +111,21 @@
 // StoreUnavailable reports whether the store currently fails reads of the registrations.
 func (w *Watcher) StoreUnavailable() bool { return w.storeUnavailable.Load() }
 
+// ReadsOverdue reports whether the newest read of either topic is so old that other VMs can't rely on this one to read the
+// store for them. It is meaningful only on the lease holder, as other VMs need not read.
+func (w *Watcher) ReadsOverdue() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	return now.Sub(w.configurationReadAt) > maxReadAge || now.Sub(w.runnersReadAt) > maxReadAge
+}
+
+func (w *Watcher) recordRead(at *time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	*at = w.clock.Now()
+}
+
 // NewestConfiguration returns the newest configuration as stored, or nil if there is none.
 func (w *Watcher) NewestConfiguration() *EncodedConfiguration { return w.newest.Load() }
 
@@ -108,18 +133,25 @@
 func (w *Watcher) WatchConfiguration(ctx context.Context) error {
 	c := w.newCursor()
 	for ctx.Err() == nil {
+		if c.synced {
+			// The holder's heartbeats carry the version of its configuration, so a new link needs no read.
+			w.waitWhileCovered(ctx, &w.configurationReadAt, w.linkedToHolder)
+		}
 		read, err := w.readConfiguration(ctx, c)
 		if err != nil {
 			c.failed(ctx, err)
 			continue
 		}
+		first := !c.synced
 		c.succeeded(read.Next)
+		w.recordRead(&w.configurationReadAt)
 		w.logSkipped(read.Skipped)
-		if read.Catalog == nil {
-			w.waitForConfiguration(ctx)
-			continue
+		if read.Catalog != nil {
+			w.activate(read.Catalog, read.Encoded, "Store")
+		}
+		if first {
+			w.awaitLink(ctx, startLinkWait)
 		}
-		w.activate(read.Catalog, read.Encoded, "Store")
 	}
 	return nil
 }
@@ -128,38 +160,7 @@
 	if !c.synced {
 		return w.source.Configuration(ctx)
 	}
-	if _, linked := w.peers.LinkedToHolder(); !linked {
-		return w.source.ConfigurationAfter(ctx, c.next, configurationWait)
-	}
-	return w.readWhileLinked(ctx, c.next)
-}
-
-// readWhileLinked waits for a configuration change for up to linkedConfigurationWait, but only while the link to the
-// lease holder is up.
-func (w *Watcher) readWhileLinked(ctx context.Context, next logservice.Offset) (Configuration, error) {
-	linkedCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		defer cancel()
-		for linkedCtx.Err() == nil {
-			if _, linked := w.peers.LinkedToHolder(); !linked {
-				return
-			}
-			pause.For(linkedCtx, w.clock, linkCheckInterval)
-		}
-	}()
-	read, err := w.source.ConfigurationAfter(linkedCtx, next, linkedConfigurationWait)
-	if err != nil && linkedCtx.Err() != nil && ctx.Err() == nil {
-		return Configuration{Next: next}, nil
-	}
-	return read, err
-}
-
-// waitForConfiguration waits before the next read if there is no active configuration.
-func (w *Watcher) waitForConfiguration(ctx context.Context) {
-	if w.active.Current() == nil {
-		pause.For(ctx, w.clock, minBackoff)
-	}
+	return w.source.ConfigurationAfter(ctx, c.next, configurationWait)
 }
 
 // AdoptConfiguration activates a configuration that a peer sent if it is newer; it fails if the configuration can't be
--- a/internal/registry/watcher_test.go
+++ b/internal/registry/watcher_test.go
@@ -232,22 +232,57 @@
 }
 
 // The store once failed to end a wait when a change arrived, so the change was seen only at the end of the wait. Without a
-// link to the lease holder, a wait must be shorter than the time within which a change must be active.
+// link to the lease holder, a wait must be shorter than the time within which a change must be active. With one, the holder
+// waits for this VM.
 func TestWaitsAreShortWithoutHolder(t *testing.T) {
-	for linked, maxWait := range map[bool]time.Duration{false: 2 * time.Second, true: time.Minute} {
-		f := newFixture(t, false)
-		f.peers.linked = linked
-		f.source.update(func(s *fakeSource) { s.version = 3 })
-		f.start(t, f.watcher.WatchConfiguration)
-		f.advanceUntil(t, func() bool {
-			f.source.mu.Lock()
-			defer f.source.mu.Unlock()
-			return len(f.source.waits) > 0
-		})
-		f.source.mu.Lock()
-		require.LessOrEqual(t, f.source.waits[0], maxWait)
-		f.source.mu.Unlock()
+	f := newFixture(t, false)
+	f.source.update(func(s *fakeSource) { s.version = 3 })
+	f.start(t, f.watcher.WatchConfiguration)
+	f.advanceUntil(t, func() bool { return f.source.waitCount() > 2 })
+	f.source.mu.Lock()
+	defer f.source.mu.Unlock()
+	for _, wait := range f.source.waits {
+		require.LessOrEqual(t, wait, 2*time.Second)
+	}
+}
+
+// While the lease holder reads the store, a VM linked to it makes no call at all after its first reads.
+func TestLinkedVMMakesNoCalls(t *testing.T) {
+	f := newFixture(t, false)
+	f.source.update(func(s *fakeSource) { s.version = 3 })
+	f.start(t, f.watcher.WatchConfiguration)
+	f.start(t, f.watcher.WatchRunners)
+	f.advanceUntil(t, f.watcher.Ready)
+	f.peers.setLinked(true)
+	for range 100 {
+		f.clock.Advance(50 * time.Millisecond)
+		time.Sleep(pollInterval)
+	}
+	before := f.source.callCount()
+	for range 600 {
+		f.clock.Advance(100 * time.Millisecond)
+		time.Sleep(pollInterval)
 	}
+	require.Equal(t, before, f.source.callCount())
+}
+
+// A VM must not rely on a lease holder whose own reads are overdue, for whatever reason.
+func TestReadsAreOverdueWhenStoreHangs(t *testing.T) {
+	f := newFixture(t, false)
+	f.source.update(func(s *fakeSource) { s.version = 3 })
+	f.start(t, f.watcher.WatchConfiguration)
+	f.start(t, f.watcher.WatchRunners)
+	f.advanceUntil(t, func() bool { return f.watcher.Ready() && !f.watcher.ReadsOverdue() })
+	f.source.update(func(s *fakeSource) { s.hang = true })
+	hung := f.clock.Now()
+	f.advanceUntil(t, f.watcher.ReadsOverdue)
+	require.Less(t, f.clock.Since(hung), 2500*time.Millisecond)
+}
+
+func (s *fakeSource) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.configurationReads + len(s.waits) + s.fullReads + s.incrementalReads
 }
 
 func TestNotReadyWithoutConfiguration(t *testing.T) {
@@ -333,18 +368,25 @@
 	})
 }
 
-// A VM waits long for a configuration change while the lease holder sends its version, but must stop waiting when the link
-// is lost.
-func TestLongWaitEndsWhenLinkIsLost(t *testing.T) {
+// A VM does not wait for a configuration change while the lease holder sends its version, but must do so when the link is
+// lost.
+func TestConfigurationIsReadAtOnceWhenLinkIsLost(t *testing.T) {
 	f := newFixture(t, false)
 	f.peers.setLinked(true)
-	f.source.update(func(s *fakeSource) { s.version, s.hang = 3, true })
+	f.source.update(func(s *fakeSource) { s.version = 3 })
 	f.start(t, f.watcher.WatchConfiguration)
-	f.advanceUntil(t, func() bool { return f.active.Version() == 3 && f.source.waitCount() == 1 })
-	f.source.update(func(s *fakeSource) { s.version, s.hang = 4, false })
+	f.advanceUntil(t, func() bool { return f.active.Version() == 3 })
+	f.source.update(func(s *fakeSource) { s.version = 4 })
+	for range 100 {
+		f.clock.Advance(50 * time.Millisecond)
+		time.Sleep(pollInterval)
+	}
+	require.Zero(t, f.source.waitCount())
 	require.EqualValues(t, 3, f.active.Version())
 	f.peers.setLinked(false)
+	lost := f.clock.Now()
 	f.advanceUntil(t, func() bool { return f.active.Version() == 4 })
+	require.Less(t, f.clock.Since(lost), time.Second)
 }
 
 // Registrations are read rarely while the lease holder forwards what it reads, but at once when the link is lost.
@@ -370,8 +412,10 @@
 	f.start(t, f.watcher.WatchRunners)
 	f.advanceUntil(t, func() bool { return len(f.roster.View().All()) == 1 })
 	f.source.update(func(s *fakeSource) { s.down = true })
+	f.peers.setLinked(false)
 	f.advanceUntil(t, f.watcher.StoreUnavailable)
 	f.source.update(func(s *fakeSource) { s.down = false })
+	f.peers.setLinked(true)
 	f.advanceUntil(t, func() bool { return !f.watcher.StoreUnavailable() })
 	reads := f.source.incrementalReadCount()
 	f.watcher.ApplyChanges([]roster.Change{{ID: "a"}})
--- a/internal/serving/localvm.go
+++ b/internal/serving/localvm.go
@@ -65,6 +65,9 @@
 // StoreUnavailable implements cluster.LocalVM.
 func (s *Server) StoreUnavailable() bool { return s.watcher.StoreUnavailable() }
 
+// ReadsOverdue implements cluster.LocalVM.
+func (s *Server) ReadsOverdue() bool { return s.watcher.ReadsOverdue() }
+
 // ReceiveConfiguration implements cluster.LocalVM.
 func (s *Server) ReceiveConfiguration(encoded []byte) {
 	if err := s.watcher.AdoptConfiguration(encoded); err != nil {
--- a/internal/serving/loops.go
+++ b/internal/serving/loops.go
@@ -108,5 +108,5 @@
 	if s.HoldsLease() {
 		return max(s.hub.MemberCount(), minVMs)
 	}
-	return max(len(s.spoke.Members()), minVMs)
+	return max(s.spoke.MemberCount(), minVMs)
 }
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -117,6 +117,8 @@
 		FailureDomain: vm.FailureDomain,
 		Incarnation:   s.incarnation,
 		SlowLink:      hasSlowLink(vm),
+
+		ReadsMemberCount: true,
 	}
 	s.lease = orderlease.New(orderlease.Options{
 		Name:        vm.Name,
