--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -22,6 +22,9 @@
 	stallObjectives = 2
 	// minStall is the shortest silence after which such a request is retried.
 	minStall = 400 * time.Millisecond
+	// maxDrainBytes and drainTimeout limit what is read of a response that is not passed on, to reuse its connection.
+	maxDrainBytes = 64 << 10
+	drainTimeout  = 100 * time.Millisecond
 	// modelAbsentTTL is how long a runner's statement that it lacks a model is relied on.
 	modelAbsentTTL = time.Second
 )
@@ -132,7 +135,7 @@
 
 // handleDecline handles a response by which the runner states that it did not execute the request.
 func (c *call) handleDecline(pick choice, response *Response) (bool, *refusal.Refusal) {
-	drain(response)
+	c.drain(response)
 	c.recordSendFailure(pick, &StatusError{Status: response.Status})
 	if response.Misdirected && c.request.Model != "" {
 		c.d.Tracker.Observe(pick.runner.ID, c.request.Model, c.request.Adapter, false, c.d.Clock.Now(), modelAbsentTTL)
@@ -149,9 +152,23 @@
 		WithRetryAfter(busyRetryAfter)
 }
 
-// drain reads a response to its end, so that its connection can be reused.
-func drain(response *Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
+// drain reads a short response to its end, so that its connection can be reused. One that does not end soon is left unread, and
+// its connection is closed with it.
+func (c *call) drain(response *Response) {
+	if response.Length > maxDrainBytes {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes))
+	}()
+	timer := c.d.Clock.NewTimer(drainTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.Chan():
+	}
 }
 
 // StatusError reports an HTTP status by which a runner declined or failed a request.
@@ -168,7 +185,7 @@
 	c.d.Tracker.recordServerError(pick.runner, serverError, c.d.Clock.Now())
 	if serverError && c.route.Idempotent() && (c.responseStarted || c.hasAlternative()) && c.takeRetry() {
 		c.recordSendFailure(pick, &StatusError{Status: response.Status})
-		drain(response)
+		c.drain(response)
 		return true, nil
 	}
 	if c.responseStarted {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -60,6 +60,8 @@
 	// writes.
 	lastWriteAt time.Time
 	longestGap  time.Duration
+	// pendingSince is when the first bytes of the incomplete event arrived, zero if there is none.
+	pendingSince time.Time
 }
 
 // Outcome is how a request ended.
--- a/internal/dispatch/eventsplitter_test.go
+++ b/internal/dispatch/eventsplitter_test.go
@@ -52,6 +52,6 @@
 			require.NoError(t, err)
 			out = append(out, complete...)
 		}
-		require.Equal(t, content, append(out, s.pending...))
+		require.Equal(t, string(content), string(append(out, s.pending...)))
 	})
 }
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -265,6 +266,13 @@
 	return h
 }
 
+// captureRecords makes the dispatcher log to the returned buffer.
+func (h *harness) captureRecords() *bytes.Buffer {
+	log := &bytes.Buffer{}
+	h.dispatcher.Logger = slog.New(slog.NewJSONHandler(log, nil))
+	return log
+}
+
 func runner(id, service, domain string) roster.Change {
 	return roster.Change{
 		ID: id,
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -17,6 +17,10 @@
 	chunkQueue = 4
 	// streamStall is how long a runner may send nothing at all before its resumable streams move to another one.
 	streamStall = time.Second
+	// eventStall is how long a runner may take to send the bytes of one event before the stream moves, if it can be resumed.
+	eventStall = 2 * time.Second
+	// maxUnboundedBytes limits a response that does not state its length and is not a stream.
+	maxUnboundedBytes = 64 << 20
 )
 
 // relayBuffered reads a response to its end before passing it on, so that no caller gets a truncated one.
@@ -26,26 +30,38 @@
 		return c.handleTruncation(ctx, pick, err)
 	}
 	if len(body) > maxBufferedBytes {
-		return c.relayUnbuffered(response, body)
-	}
-	success := response.Status < http.StatusMultipleChoices
-	if success {
-		c.d.Tracker.recordResult(pick.runner, true, c.d.Clock.Now())
+		return c.relayUnbuffered(ctx, pick, response, body)
 	}
 	c.firstByteAt = c.d.Clock.Now()
 	c.status = response.Status
-	c.outcome = Answered
-	if !success {
-		c.outcome = Failed
-	}
+	c.recordComplete(pick, response.Status)
 	if c.caller.WriteHeader(response.Status, response.Header, int64(len(body))) != nil || c.caller.Write(body) != nil {
 		c.outcome = Left
 	}
 	return false, nil
 }
 
-// relayUnbuffered relays a response that is too large to buffer as it arrives.
-func (c *call) relayUnbuffered(response *Response, buffered []byte) (bool, *refusal.Refusal) {
+// recordComplete records that a runner's response was received to its end.
+func (c *call) recordComplete(pick choice, status int) {
+	if status >= http.StatusMultipleChoices {
+		c.outcome = Failed
+		return
+	}
+	c.outcome = Answered
+	c.d.Tracker.recordResult(pick.runner, true, c.d.Clock.Now())
+}
+
+// BodyTooLargeError reports a response without a stated length that did not end within the limit.
+type BodyTooLargeError struct {
+	Limit int
+}
+
+// Error implements error.
+func (e *BodyTooLargeError) Error() string { return "response does not end within the size limit" }
+
+// relayUnbuffered relays a response that is too large to buffer as it arrives. It breaks off a response that has no stated length
+// and does not end.
+func (c *call) relayUnbuffered(ctx context.Context, pick choice, response *Response, buffered []byte) (bool, *refusal.Refusal) {
 	c.responseStarted = true
 	c.firstByteAt = c.d.Clock.Now()
 	c.status = response.Status
@@ -54,17 +70,24 @@
 		return false, nil
 	}
 	buffer := make([]byte, chunkBytes)
-	for {
+	for relayed := len(buffered); ; {
 		n, err := response.Body.Read(buffer)
+		if relayed += n; response.Length < 0 && relayed > maxUnboundedBytes {
+			err = &BodyTooLargeError{Limit: maxUnboundedBytes}
+		}
 		if n > 0 && c.caller.Write(buffer[:n]) != nil {
 			c.outcome = Left
 			return false, nil
 		}
 		if errors.Is(err, io.EOF) {
-			c.outcome = Answered
+			c.recordComplete(pick, response.Status)
 			return false, nil
 		}
 		if err != nil {
+			if ctx.Err() == nil {
+				c.recordSendFailure(pick, &endpoint.TruncatedError{Cause: err})
+				c.d.Tracker.recordResult(pick.runner, false, c.d.Clock.Now())
+			}
 			return false, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "the answer broke off")
 		}
 	}
@@ -93,6 +116,7 @@
 		c.recordResume(pick)
 	}
 	c.events.pending = nil
+	c.pendingSince = time.Time{}
 	chunks := make(chan chunk, chunkQueue)
 	stop := make(chan struct{})
 	defer close(stop)
@@ -109,6 +133,9 @@
 			} else if err != nil {
 				return c.handleTruncation(ctx, pick, err)
 			}
+			if c.eventStalled() && next.err == nil {
+				return c.handleTruncation(ctx, pick, errStalled)
+			}
 		}
 		if errors.Is(next.err, io.EOF) && len(c.events.pending) == 0 {
 			c.d.Tracker.recordResult(pick.runner, true, c.d.Clock.Now())
@@ -128,6 +155,7 @@
 	if err != nil || len(events) == 0 {
 		return false, err
 	}
+	c.pendingSince = time.Time{}
 	c.recordWrite(c.d.Clock.Now())
 	if c.caller.Write(events) != nil {
 		c.outcome = Left
@@ -136,6 +164,19 @@
 	return false, nil
 }
 
+// eventStalled reports whether the bytes of one event have been arriving for too long and another runner can take over.
+func (c *call) eventStalled() bool {
+	now := c.d.Clock.Now()
+	if len(c.events.pending) == 0 {
+		c.pendingSince = time.Time{}
+		return false
+	}
+	if c.pendingSince.IsZero() {
+		c.pendingSince = now
+	}
+	return c.route.Idempotent() && now.Sub(c.pendingSince) >= eventStall && c.hasAlternative()
+}
+
 // recordWrite notes the time of a write to the caller.
 func (c *call) recordWrite(now time.Time) {
 	if c.firstByteAt.IsZero() {
--- a/internal/dispatch/runnerstate.go
+++ b/internal/dispatch/runnerstate.go
@@ -88,9 +88,15 @@
 	return s.failureRate / (1 + halfLives)
 }
 
-func (s *runnerState) recordFailure(now time.Time) {
+// recordFailureRate counts a failure in the failure rate only.
+func (s *runnerState) recordFailureRate(now time.Time) {
 	s.failureRate = s.decayedFailureRate(now)*(1-sampleWeight) + sampleWeight
 	s.failureRateAt = now
+}
+
+// recordFailure counts a failure, also towards a backoff.
+func (s *runnerState) recordFailure(now time.Time) {
+	s.recordFailureRate(now)
 	s.consecutiveFailures++
 	if s.consecutiveFailures < backoffFailures {
 		return
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -165,9 +165,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.state(runner.ID)
-	consecutive := state.consecutiveFailures
 	if isServerError {
-		state.recordFailure(now)
-		state.consecutiveFailures, state.backoff = consecutive, 0
+		state.recordFailureRate(now)
 	}
 }
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -14,6 +14,8 @@
 type conn struct {
 	socket net.Conn
 	reader *bufio.Reader
+	// head limits what reader reads from the socket.
+	head *headLimiter
 	// idleSince is when the connection became idle; it is not reused once idleTimeout has passed since.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -25,9 +27,14 @@
 }
 
 func newConn(socket net.Conn, onClose func()) *conn {
+	head := &headLimiter{
+		reader:    socket,
+		remaining: -1,
+	}
 	return &conn{
 		socket:      socket,
-		reader:      bufio.NewReaderSize(socket, readBufferBytes),
+		reader:      bufio.NewReaderSize(head, readBufferBytes),
+		head:        head,
 		idleTimeout: defaultIdleTimeout,
 		onClose:     onClose,
 	}
--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 )
 
 // maxDiscardBytes limits the size of the body that is read and dropped when a response belongs to another request.
@@ -25,7 +26,7 @@
 	stopWatch func() bool
 	once      sync.Once
 	// complete is set once the whole body was read.
-	complete bool
+	complete atomic.Bool
 }
 
 func newResponse(p *Pool, address string, c *conn, response *http.Response, stopWatch func() bool) *Response {
@@ -45,7 +46,7 @@
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.response.Body.Read(b)
 	if errors.Is(err, io.EOF) {
-		r.complete = true
+		r.complete.Store(true)
 		r.Close()
 	}
 	return n, err
@@ -55,7 +56,7 @@
 func (r *Response) Close() {
 	r.once.Do(func() {
 		open := r.stopWatch()
-		if open && r.complete && r.canReuse() {
+		if open && r.complete.Load() && r.canReuse() {
 			r.conn.idleTimeout = idleTimeoutOf(r.Header)
 			r.pool.putIdle(r.address, r.conn)
 			return
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -89,16 +89,14 @@
 	return n, nil
 }
 
-// readResponse reads responses, up to maxMismatched, until one belongs to the request.
+// readResponse reads responses, up to maxMismatched, until one belongs to the request. It fails with HeadTooLargeError if a
+// header, with the interim responses before it, exceeds the limit.
 func (p *Pool) readResponse(c *conn, target Target, request Request) (*http.Response, error) {
 	for range maxMismatched {
-		response, err := http.ReadResponse(c.reader, request.httpRequest())
+		response, err := readFinalResponse(c, request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
-			continue
-		}
 		if target.Matches == nil || target.Matches(response.Header) {
 			return response, nil
 		}
@@ -109,6 +107,21 @@
 	return nil, &endpoint.RequestIDMismatchError{}
 }
 
+// readFinalResponse reads the header of the next response that is not an interim one.
+func readFinalResponse(c *conn, request Request) (*http.Response, error) {
+	c.head.limit(maxHeadBytes)
+	defer c.head.unlimit()
+	for {
+		response, err := http.ReadResponse(c.reader, request.httpRequest())
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < 100 || response.StatusCode >= 200 {
+			return response, nil
+		}
+	}
+}
+
 // idleTimeoutOf returns how long a connection may stay idle, from the Keep-Alive header of a response.
 func idleTimeoutOf(header http.Header) time.Duration {
 	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
