orders: end a step when its runner restarts under its ID, and begin no second one before

Change: reports carry the incarnation; a step that sees another one ends unsynchronized. The runner stays busy until the old step has ended. Tests: TestStepEndsWhenRunnerRestartedUnderItsID, TestRestartedRunnerStaysBusyUntilStepEnds; both fail without the change.

--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -273,6 +273,8 @@
 	}
 	c.requestPlan()
 	state := execution.state
+	state.busy = false
+	state.step = layout.Step{}
 	if state.registration.Incarnation != execution.runner.Incarnation {
 		// The runner restarted meanwhile, so the step's state is that of its previous incarnation.
 		return
@@ -280,8 +282,6 @@
 	if !execution.modelsUpdated {
 		state.backoffUntil = c.Clock.Now().Add(failedStepBackoff)
 	}
-	state.busy = false
-	state.step = layout.Step{}
 	state.orderCount, state.synced = execution.orderCount, execution.synced
 	if execution.modelsUpdated {
 		state.models = execution.models
--- a/internal/orders/controller_test.go
+++ b/internal/orders/controller_test.go
@@ -52,10 +52,12 @@
 
 // fakeRunner checks every order as the platform's runners do.
 type fakeRunner struct {
-	models    map[string][]string
-	orders    uint64
-	fence     uint64
-	busyUntil time.Time
+	// incarnation is 0 for the first one.
+	incarnation int64
+	models      map[string][]string
+	orders      uint64
+	fence       uint64
+	busyUntil   time.Time
 	// history holds the states that reports show, which become visible after reportLag.
 	history []reportedState
 	// violation is set when an order exceeded the memory or adapter slots.
@@ -156,6 +158,7 @@
 			state = s.state
 		}
 	}
+	state.Incarnation = 1 + r.incarnation
 	// The order count is always current; the models lag.
 	state.Orders = r.orders
 	state.Busy = c.clock.Now().Before(r.busyUntil)
@@ -528,7 +531,7 @@
 		return f.client.byID["r0"].orders > 0
 	})
 	f.client.mu.Lock()
-	f.client.byID["r0"] = &fakeRunner{models: make(map[string][]string)}
+	f.client.byID["r0"] = &fakeRunner{incarnation: 1, models: make(map[string][]string)}
 	f.client.mu.Unlock()
 	f.roster.Apply([]roster.Change{{ID: "r0", Runner: &roster.Runner{
 		ID:            "r0",
--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -58,9 +58,13 @@
 	loadAttempted bool
 	// loadedAdapters lists the adapters that the step loaded.
 	loadedAdapters []layout.Adapter
+	// abandon ends the step.
+	abandon context.CancelFunc
 }
 
 func (e *stepExecution) run(ctx context.Context) {
+	ctx, e.abandon = context.WithCancel(ctx)
+	defer e.abandon()
 	if !e.synced && !e.syncState(ctx) {
 		return
 	}
@@ -110,12 +114,28 @@
 	}
 }
 
+// fetchReport reads a report. The step ends if the runner has restarted under its ID: order counts start anew then, so orders that
+// rely on what the earlier incarnation held could be accepted. It fails with RestartedError in this case.
 func (e *stepExecution) fetchReport(ctx context.Context) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return e.controller.Client.Report(ctx, e.runner)
+	report, err := e.controller.Client.Report(ctx, e.runner)
+	if err == nil && report.Incarnation != 0 && report.Incarnation != e.runner.Incarnation {
+		e.synced = false
+		e.abandon()
+		return Report{}, &RestartedError{Runner: e.runner.ID}
+	}
+	return report, err
+}
+
+// RestartedError reports that a runner has restarted under its ID since its registration was read.
+type RestartedError struct {
+	Runner string
 }
 
+// Error implements error.
+func (e *RestartedError) Error() string { return "runner " + e.Runner + " has restarted under its ID" }
+
 func (e *stepExecution) unloadModel(ctx context.Context, model string) bool {
 	if _, held := e.models[model]; !held {
 		return true
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -39,7 +39,9 @@
 
 // Report is a runner's report; its models may be a few hundred milliseconds older than its order count.
 type Report struct {
-	Models []roster.LoadedModel
+	// Incarnation is that of the reporting runner, or 0 if it does not tell.
+	Incarnation int64
+	Models      []roster.LoadedModel
 	// Busy is set while an order is being carried out.
 	Busy bool
 	// Orders is how many orders the runner has accepted.
--- a/internal/orders/runnerstate.go
+++ b/internal/orders/runnerstate.go
@@ -48,7 +48,8 @@
 // precedence over those in the registration: registrations lag, and don't change while the store can't be read.
 func (s *runnerState) updateRegistration(r *roster.Runner) {
 	if s.registration == nil || s.registration.Incarnation != r.Incarnation {
-		*s = runnerState{busy: s.busy && s.registration != nil && s.registration.Incarnation == r.Incarnation}
+		// A step at the earlier incarnation goes on until it notices, and no other may begin before.
+		*s = runnerState{busy: s.busy}
 	}
 	s.registration = r
 	if s.busy || s.synced {
