dispatch: spread requests by estimated arrivals since the load figures

Change: package loadbalance estimates how many requests have ended and arrived since the figures, and draws a runner in proportion to its room below the level up to which those arrivals fill the runners, with distance, failures, slots and queue as before. Of more than 32 runners a random sample is compared.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -45,7 +45,7 @@
 		Adapter: needs.adapter,
 	}
 	c.d.Tracker.requestSent(use, sent)
-	defer func() { c.d.Tracker.requestEnded(use, c.d.Clock.Now().Sub(sent)) }()
+	defer func() { c.d.Tracker.requestEnded(c.service.Name, use, c.d.Clock.Now().Sub(sent)) }()
 	stop := c.cancelOnStall(cancel, pick, sent)
 	response, err := c.d.Sender.Send(ctx, pick.runner, c.request, c.newAttempt(pick.runner))
 	stop()
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -1,21 +1,18 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cowsliparch/cowsliparch/internal/loadbalance"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
 const (
-	// requestCost is what each request at a runner adds to the expected time of the next one.
-	requestCost = 6 * time.Millisecond
 	// failurePenalty is what a runner's failures add to its expected time if every attempt fails.
 	failurePenalty = 300 * time.Millisecond
-	// scoreTolerance is how much worse than the best a runner may be and still be chosen, so that VMs with the same view
-	// spread their requests.
-	scoreTolerance = 4 * time.Millisecond
+	// maxCandidates is how many runners are compared for a request; of more, a random sample is.
+	maxCandidates = 32
 )
 
 // choice is the runner chosen for an attempt, with the figures behind the choice.
@@ -39,41 +36,55 @@
 	tried []string
 }
 
-// choose returns the runner with the shortest expected time for a request, or a choice without a runner if none can take
-// it. It falls back on runners in backoff if there is no other.
+// choose returns a runner for a request, or a choice without a runner if none can take it. It falls back on runners in backoff if
+// there is no other.
 func (t *Tracker) choose(view *roster.View, needs requirements, now time.Time) choice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best := t.bestRunner(view, needs, now, false)
+	best := t.pickRunner(view, needs, now, false)
 	if best.runner == nil && best.withModel > 0 {
-		best = t.bestRunner(view, needs, now, true)
+		best = t.pickRunner(view, needs, now, true)
 	}
 	return best
 }
 
-// bestRunner chooses among the runners that are not in backoff, or among all; the caller holds the lock.
-func (t *Tracker) bestRunner(view *roster.View, needs requirements, now time.Time, includeBackoff bool) choice {
+// pickRunner picks among the runners that are not in backoff, or among all; the caller holds the lock.
+func (t *Tracker) pickRunner(view *roster.View, needs requirements, now time.Time, includeBackoff bool) choice {
 	var best choice
+	t.compared, t.candidates = t.compared[:0], t.candidates[:0]
+	t.collect(&best, view, needs, now, includeBackoff)
+	i, expected := t.picker.Pick(t.candidates, t.random())
+	if i < 0 {
+		return best
+	}
+	best.runner = t.compared[i]
+	best.score = expected
+	best.inFlight = t.candidates[i].Own + t.candidates[i].Others
+	best.loadAge = t.candidates[i].Age
+	return best
+}
+
+// collect collects the runners that can take a request; the caller holds the lock.
+func (t *Tracker) collect(best *choice, view *roster.View, needs requirements, now time.Time, includeBackoff bool) {
 	if needs.model == "" {
 		for _, runner := range view.Service(needs.service) {
-			t.consider(&best, runner, needs, now, includeBackoff)
+			t.consider(best, runner, needs, now, includeBackoff)
 		}
-		return best
+		return
 	}
 	for _, runner := range view.RunnersWithModel(needs.service, needs.model) {
-		t.consider(&best, runner, needs, now, includeBackoff)
+		t.consider(best, runner, needs, now, includeBackoff)
 	}
 	// Runners that loaded the model recently do not list it in their registrations yet.
 	for id := range t.observed {
 		runner, known := view.Runner(id)
 		if known && runner.Service == needs.service && !runner.HasLoaded(needs.model, "") {
-			t.consider(&best, runner, needs, now, includeBackoff)
+			t.consider(best, runner, needs, now, includeBackoff)
 		}
 	}
-	return best
 }
 
-// consider replaces the best choice if the runner is better; the caller holds the lock.
+// consider counts a runner and, if it can take the request, compares it with the others; the caller holds the lock.
 func (t *Tracker) consider(best *choice, runner *roster.Runner, needs requirements, now time.Time, includeBackoff bool) {
 	state := t.runners[runner.ID]
 	if !hasModel(runner, state, needs, now) {
@@ -84,15 +95,14 @@
 		return
 	}
 	best.ready++
-	score := t.score(runner, state, now)
-	if best.runner != nil && score >= best.score-scoreTolerance && (score >= best.score+scoreTolerance || rand.IntN(best.ready) != 0) {
+	if len(t.compared) < maxCandidates {
+		t.compared = append(t.compared, runner)
+		t.candidates = append(t.candidates, t.candidate(runner, state, now))
 		return
 	}
-	best.runner = runner
-	best.score = score
-	best.inFlight, best.loadAge = 0, 0
-	if state != nil {
-		best.inFlight, best.loadAge = state.inFlight(), now.Sub(state.updatedAt)
+	if i := int(t.random() * float64(best.ready)); i < maxCandidates {
+		t.compared[i] = runner
+		t.candidates[i] = t.candidate(runner, state, now)
 	}
 }
 
@@ -108,19 +118,26 @@
 	return runner.HasLoaded(needs.model, needs.adapter)
 }
 
-func (t *Tracker) score(runner *roster.Runner, state *runnerState, now time.Time) time.Duration {
-	score := t.roundTrips.RoundTrip(runner.FailureDomain)
+// candidate returns what is known of a runner's load; the caller holds the lock.
+func (t *Tracker) candidate(runner *roster.Runner, state *runnerState, now time.Time) loadbalance.Candidate {
+	c := loadbalance.Candidate{
+		Base:        t.roundTrips.RoundTrip(runner.FailureDomain),
+		Slots:       runner.Slots,
+		ServiceTime: t.serviceTime(runner.Service),
+	}
 	if state == nil {
-		return score
+		return c
 	}
-	inFlight := state.inFlight()
-	score += time.Duration(inFlight) * requestCost
-	if excess := inFlight - runner.Slots + 1; runner.Slots > 0 && excess > 0 {
-		serviceTime := state.serviceTime
-		if serviceTime == 0 {
-			serviceTime = initialServiceTime
-		}
-		score += time.Duration(excess) * serviceTime / time.Duration(runner.Slots)
+	c.Base += time.Duration(state.decayedFailureRate(now) * float64(failurePenalty))
+	c.Own, c.Others = state.ownRequests, state.otherRequests
+	c.Age = now.Sub(state.updatedAt)
+	return c
+}
+
+// serviceTime returns how long a request of a service takes at a runner; the caller holds the lock.
+func (t *Tracker) serviceTime(service string) time.Duration {
+	if measured, ok := t.serviceTimes[service]; ok {
+		return measured
 	}
-	return score + time.Duration(state.decayedFailureRate(now)*float64(failurePenalty))
+	return initialServiceTime
 }
--- a/internal/dispatch/runnerstate.go
+++ b/internal/dispatch/runnerstate.go
@@ -11,7 +11,7 @@
 	// failureHalfLife is the time after which a runner's past failures count half.
 	failureHalfLife = 2 * time.Second
 	// initialServiceTime is the expected time of a request at a runner before any was measured.
-	initialServiceTime = 100 * time.Millisecond
+	initialServiceTime = 400 * time.Millisecond
 	// backoffFailures is the number of consecutive failures that put a runner in backoff.
 	backoffFailures = 2
 	// minBackoff is how long a runner in backoff gets no request before one probes it; it doubles up to maxBackoff.
@@ -34,8 +34,6 @@
 	ownAnnounced int
 	// lastReceived is when any data last came from the runner.
 	lastReceived time.Time
-	// serviceTime is the moving average of how long a request takes at the runner.
-	serviceTime time.Duration
 	// failureRate is the decaying share of failed attempts, as of failureRateAt.
 	failureRate         float64
 	failureRateAt       time.Time
@@ -53,7 +51,7 @@
 	expires time.Time
 }
 
-// inFlight estimates how many requests the runner has now.
+// inFlight is how many requests the runner had by the newest figures.
 func (s *runnerState) inFlight() int { return s.ownRequests + s.otherRequests }
 
 // applyReport updates the estimate from the runner's own report.
@@ -71,15 +69,6 @@
 	s.updatedAt = now
 }
 
-func (s *runnerState) requestEnded(took time.Duration) {
-	s.ownRequests--
-	if s.serviceTime == 0 {
-		s.serviceTime = took
-		return
-	}
-	s.serviceTime += time.Duration(sampleWeight * float64(took-s.serviceTime))
-}
-
 func (s *runnerState) decayedFailureRate(now time.Time) float64 {
 	if s.failureRate == 0 {
 		return 0
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cowsliparch/cowsliparch/internal/loadbalance"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -17,6 +19,14 @@
 	uses map[roster.ModelUse]int
 	// observed is the set of runners with observations that their registrations may not show yet.
 	observed map[string]bool
+	// serviceTimes is the moving average of how long a request takes, by service.
+	serviceTimes map[string]time.Duration
+	// random returns a number in [0, 1).
+	random func() float64
+	// picker, compared and candidates are the memory of a choice.
+	picker     loadbalance.Picker
+	compared   []*roster.Runner
+	candidates []loadbalance.Candidate
 }
 
 // NewTracker returns a tracker that knows nothing yet.
@@ -26,6 +36,9 @@
 		runners:    make(map[string]*runnerState),
 		uses:       make(map[roster.ModelUse]int),
 		observed:   make(map[string]bool),
+
+		serviceTimes: make(map[string]time.Duration),
+		random:       rand.Float64,
 	}
 }
 
@@ -139,10 +152,14 @@
 	}
 }
 
-func (t *Tracker) requestEnded(use roster.ModelUse, took time.Duration) {
+func (t *Tracker) requestEnded(service string, use roster.ModelUse, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state(use.Runner).requestEnded(took)
+	t.state(use.Runner).ownRequests--
+	if average, ok := t.serviceTimes[service]; ok {
+		took = average + time.Duration(sampleWeight*float64(took-average))
+	}
+	t.serviceTimes[service] = took
 	if t.uses[use]--; t.uses[use] == 0 {
 		delete(t.uses, use)
 	}
