registry: await a new link before the store is read, for as long as changes allow

Change: settings DrainWithin and ConfigurationWithin (from the platform's bounds); a VM awaits a new link for the shorter one less 2.5 s, at least 0.3 s, half of it at random. A new link needs no read of the configuration. Test: TestNewLinkSavesReads (failed before).

--- a/internal/registry/link.go
+++ b/internal/registry/link.go
@@ -15,19 +15,18 @@
 	}
 }
 
-// waitWhileCovered waits while the lease holder reads a topic for this VM, then for a short random time. It keeps readAt, the
-// time of the newest read, up to date, because no other read is due.
+// waitWhileCovered waits while the lease holder reads a topic for this VM, then for a new link for as long as changes allow. It
+// keeps readAt, the time of the newest read, up to date, because no other read is due.
 func (w *Watcher) waitWhileCovered(ctx context.Context, readAt *time.Time, covered func() bool) {
-	if !covered() {
-		return
-	}
 	for ctx.Err() == nil && covered() {
 		w.recordRead(readAt)
 		w.applyDeferredRemovals()
 		pause.For(ctx, w.clock, linkCheckInterval)
+		if !covered() {
+			w.awaitLink(ctx, w.linkLossWait-rand.N(w.linkLossWait/2))
+			w.recordRead(readAt)
+		}
 	}
-	pause.For(ctx, w.clock, rand.N(linkLossJitter))
-	w.recordRead(readAt)
 }
 
 // linkedToHolder reports whether this VM is linked to the lease holder.
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -25,9 +25,12 @@
 	startLinkWait = 1500 * time.Millisecond
 	// linkCheckInterval is the pause between two checks whether the link to the lease holder is still up.
 	linkCheckInterval = 100 * time.Millisecond
-	// linkLossJitter bounds the random pause before the first read after a link was lost, because all VMs lose theirs at once
-	// when the lease holder fails.
-	linkLossJitter = 300 * time.Millisecond
+	// noticeTime is how long it takes at most until a VM stops relying on a lease holder that fails or can't read the store, and
+	// then to read the store itself.
+	noticeTime = 2500 * time.Millisecond
+	// minLinkLossWait is the shortest time for which a new link is awaited when one is lost. All VMs lose theirs at once when the
+	// lease holder fails, so up to half of the time is random.
+	minLinkLossWait = 300 * time.Millisecond
 	// fullReadAfter is the time since the last read after which all registrations are read again in place of the changes: each
 	// runner's renewals since then are more than one list of all runners.
 	fullReadAfter = 4 * time.Second
@@ -70,6 +73,8 @@
 	storeUnavailable atomic.Bool
 	// runnersComplete is set once the list of runners is complete.
 	runnersComplete atomic.Bool
+	// linkLossWait is how long a new link is awaited when one is lost, before this VM reads the store itself.
+	linkLossWait time.Duration
 	// firstStart reports that the whole system is starting for the first time, so that runners are still registering.
 	firstStart bool
 	mu         sync.Mutex
@@ -87,17 +92,26 @@
 	Encoded []byte
 }
 
-// New returns a watcher; the caller runs WatchConfiguration and WatchRunners. Unless firstStart is set, the first list of
-// runners counts as complete at once.
-func New(source Source, active *catalog.Active, r *roster.Roster, peers Peers, firstStart bool, clock clockwork.Clock, logger *slog.Logger) *Watcher {
+// Options configures a watcher.
+type Options struct {
+	// FirstStart reports that the whole system is starting for the first time. Otherwise, the first list of runners counts as
+	// complete at once.
+	FirstStart bool
+	// ChangeWithin is the time within which a change must be known here after the store has accepted it.
+	ChangeWithin time.Duration
+}
+
+// New returns a watcher; the caller runs WatchConfiguration and WatchRunners.
+func New(source Source, active *catalog.Active, r *roster.Roster, peers Peers, options Options, clock clockwork.Clock, logger *slog.Logger) *Watcher {
 	return &Watcher{
-		source:     source,
-		active:     active,
-		roster:     r,
-		peers:      peers,
-		firstStart: firstStart,
-		clock:      clock,
-		logger:     logger,
+		source:       source,
+		active:       active,
+		roster:       r,
+		peers:        peers,
+		firstStart:   options.FirstStart,
+		linkLossWait: max(options.ChangeWithin-noticeTime, minLinkLossWait),
+		clock:        clock,
+		logger:       logger,
 	}
 }
 
--- a/internal/registry/watcher_test.go
+++ b/internal/registry/watcher_test.go
@@ -166,7 +166,10 @@
 		active: catalog.NewActive(),
 		roster: roster.New(),
 	}
-	f.watcher = registry.New(f.source, f.active, f.roster, f.peers, firstStart, f.clock, slog.New(slog.DiscardHandler))
+	f.watcher = registry.New(f.source, f.active, f.roster, f.peers, registry.Options{
+		FirstStart:   firstStart,
+		ChangeWithin: 3 * time.Second,
+	}, f.clock, slog.New(slog.DiscardHandler))
 	return f
 }
 
@@ -449,3 +452,27 @@
 	defer s.mu.Unlock()
 	return s.incrementalReads
 }
+
+// When the holder fails, a new link comes before the store must be read; only the registrations are then read, over the new link.
+func TestNewLinkSavesReads(t *testing.T) {
+	f := newFixture(t, false)
+	f.peers.setLinked(true)
+	f.source.update(func(s *fakeSource) { s.version = 3 })
+	f.start(t, f.watcher.WatchConfiguration)
+	f.start(t, f.watcher.WatchRunners)
+	f.advanceUntil(t, f.watcher.Ready)
+	for range 40 {
+		f.clock.Advance(50 * time.Millisecond)
+		time.Sleep(pollInterval)
+	}
+	before := f.source.callCount()
+	f.peers.setLinked(false)
+	f.clock.Advance(100 * time.Millisecond)
+	time.Sleep(pollInterval)
+	f.peers.setLinked(true)
+	for range 100 {
+		f.clock.Advance(50 * time.Millisecond)
+		time.Sleep(pollInterval)
+	}
+	require.LessOrEqual(t, f.source.callCount(), before+1)
+}
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -86,7 +86,10 @@
 	}
 	s.settings.Store(&d.Settings)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	s.watcher = registry.New(d.Source, s.catalog, s.roster, s, d.Settings.VM.FirstStart, d.Clock, d.Logger)
+	s.watcher = registry.New(d.Source, s.catalog, s.roster, s, registry.Options{
+		FirstStart:   d.Settings.VM.FirstStart,
+		ChangeWithin: d.Settings.Control.ChangeWithin(),
+	}, d.Clock, d.Logger)
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
 		Catalog:     s.catalog.Current,
 		Roster:      s.roster.View,
--- a/internal/settings/serving.go
+++ b/internal/settings/serving.go
@@ -46,9 +46,18 @@
 	StopTimeout time.Duration
 }
 
-// ServingControl sets the term of the lease under which a VM sends orders to runners.
+// ServingControl sets the term of the lease under which a VM sends orders to runners, and how soon changes take effect.
 type ServingControl struct {
 	LeaseTerm time.Duration
+	// DrainWithin is the time within which no VM may send requests to a runner that leaves, ConfigurationWithin the time within
+	// which a new configuration must be in force on each VM, both from when the store accepts the change.
+	DrainWithin         time.Duration
+	ConfigurationWithin time.Duration
+}
+
+// ChangeWithin is the shorter of the two.
+func (c ServingControl) ChangeWithin() time.Duration {
+	return min(c.DrainWithin, c.ConfigurationWithin)
 }
 
 // ReadServing returns the serve settings in a file, or the same errors as Read.
@@ -196,5 +205,21 @@
 			description: "How long the order lease lasts without renewal.",
 			set:         duration(func(s *Serving) *time.Duration { return &s.Control.LeaseTerm }, time.Second, 10*time.Minute),
 		},
+		{
+			section:     "Control",
+			name:        "DrainWithin",
+			example:     "3s",
+			allowed:     between("2s", "10m"),
+			description: "The time within which no VM sends requests to a runner that leaves.",
+			set:         duration(func(s *Serving) *time.Duration { return &s.Control.DrainWithin }, 2*time.Second, 10*time.Minute),
+		},
+		{
+			section:     "Control",
+			name:        "ConfigurationWithin",
+			example:     "3s",
+			allowed:     between("2s", "10m"),
+			description: "The time within which a new configuration is in force on each VM.",
+			set:         duration(func(s *Serving) *time.Duration { return &s.Control.ConfigurationWithin }, 2*time.Second, 10*time.Minute),
+		},
 	}
 }
