cluster: send configurations compressed, once for all VMs that request one

Cause: since linked VMs no longer read the store, each of 294 got a configuration of 45 KB over the holder's link, 13 MB a change. Change: DEFLATE, compressed once a version; VMs of an older release get it as before. Tests: TestLinkedVMRequestsNewerConfiguration requires the compressed form; TestHeartbeatSamplesMembers covers the sample of members and the full list for an older release.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -1,7 +1,10 @@
 package cluster_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"net"
@@ -32,6 +35,7 @@
 	version          uint64
 	storeUnavailable bool
 	readsOverdue     bool
+	compressedSent   int
 	resignedFence    uint64
 	leaseOffset      logservice.Offset
 	rates            []orders.Rate
@@ -83,9 +87,17 @@
 }
 func (v *fakeVM) ConfigurationVersion() uint64 { v.mu.Lock(); defer v.mu.Unlock(); return v.version }
 func (v *fakeVM) Configuration() []byte        { return []byte{byte(v.ConfigurationVersion())} }
-func (v *fakeVM) Runners() []roster.Runner     { return []roster.Runner{{ID: "r1"}} }
-func (v *fakeVM) StoreUnavailable() bool       { v.mu.Lock(); defer v.mu.Unlock(); return v.storeUnavailable }
-func (v *fakeVM) ReadsOverdue() bool           { v.mu.Lock(); defer v.mu.Unlock(); return v.readsOverdue }
+func (v *fakeVM) CompressedConfiguration() []byte {
+	var compressed bytes.Buffer
+	writer, _ := flate.NewWriter(&compressed, flate.BestSpeed)
+	_, _ = writer.Write(v.Configuration())
+	_ = writer.Close()
+	v.update(func(v *fakeVM) { v.compressedSent++ })
+	return compressed.Bytes()
+}
+func (v *fakeVM) Runners() []roster.Runner { return []roster.Runner{{ID: "r1"}} }
+func (v *fakeVM) StoreUnavailable() bool   { v.mu.Lock(); defer v.mu.Unlock(); return v.storeUnavailable }
+func (v *fakeVM) ReadsOverdue() bool       { v.mu.Lock(); defer v.mu.Unlock(); return v.readsOverdue }
 func (v *fakeVM) ReceiveRunners(runners []roster.Runner) {
 	v.update(func(v *fakeVM) { v.receivedRunners = runners })
 }
@@ -221,6 +233,34 @@
 	p.other.update(func(v *fakeVM) { v.version = 3 })
 	p.holder.update(func(v *fakeVM) { v.version = 7 })
 	require.Eventually(t, p.other.check(func(v *fakeVM) bool { return v.version == 7 }), waitTimeout, pollInterval)
+	require.True(t, p.holder.check(func(v *fakeVM) bool { return v.compressedSent > 0 })())
+}
+
+// Of hundreds of members, a heartbeat lists a few; the number of all is told in each.
+func TestHeartbeatSamplesMembers(t *testing.T) {
+	p := newPair(t)
+	require.Eventually(t, func() bool { return p.spoke.MemberCount() == 2 && len(p.spoke.Members()) == 2 }, waitTimeout, pollInterval)
+	local := newFakeVM()
+	local.holder = p.other.holder
+	for i := range 20 {
+		name := fmt.Sprintf("vm-%d", i)
+		spoke := cluster.NewSpoke(cluster.Member{Name: name, ReadsMemberCount: true}, local, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = spoke.Run(ctx)
+		}()
+		t.Cleanup(func() {
+			stop()
+			<-done
+		})
+		if i == 19 {
+			require.Eventually(t, func() bool { return spoke.MemberCount() == 22 }, waitTimeout, pollInterval)
+			require.LessOrEqual(t, len(spoke.Members()), 8)
+		}
+	}
+	require.Eventually(t, func() bool { return len(p.spoke.Members()) == 22 }, waitTimeout, pollInterval, "a VM of an older release counts the list")
 }
 
 // A lease holder whose read of the store hangs must get a newer configuration from a linked VM that has it.
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -26,9 +26,10 @@
 	Request      *stateRequest `cbor:"Ask,omitempty"`
 	Heartbeat    *heartbeat    `cbor:"Pulse,omitempty"`
 	Holdings     []holding     `cbor:"Holding,omitempty"`
-	// Configuration is encoded as in the store.
-	Configuration []byte          `cbor:",omitempty"`
-	Runners       []roster.Runner `cbor:",omitempty"`
+	// Configuration is encoded as in the store, CompressedConfiguration is the same in DEFLATE format.
+	Configuration           []byte          `cbor:",omitempty"`
+	CompressedConfiguration []byte          `cbor:"Deflated,omitempty"`
+	Runners                 []roster.Runner `cbor:",omitempty"`
 	// Changes holds single registrations that the lease holder read.
 	Changes []roster.Change `cbor:",omitempty"`
 	// Usage describes the sender's requests at the runners.
@@ -60,6 +61,8 @@
 	Version uint64
 	// Runners requests the runner registrations.
 	Runners bool
+	// ReadsCompressed reports that the sender reads compressed configurations.
+	ReadsCompressed bool `cbor:"Inflates,omitempty"`
 }
 
 // heartbeat tells the other side that the sender is alive, with its state.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -171,8 +171,7 @@
 			h.recordUsage(name, *f.Usage)
 		}
 		requestNewerConfiguration(s.link, h.local, f.Usage.Version)
-	case f.Configuration != nil:
-		h.local.ReceiveConfiguration(f.Configuration)
+	case receiveConfiguration(h.local, f):
 		h.BroadcastHeartbeat()
 	}
 }
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -22,6 +22,8 @@
 	ConfigurationVersion() uint64
 	// Configuration returns the active configuration, encoded as in the store, or nil if there is none.
 	Configuration() []byte
+	// CompressedConfiguration returns the same in DEFLATE format.
+	CompressedConfiguration() []byte
 	// Runners returns the registrations known here.
 	Runners() []roster.Runner
 	// StoreUnavailable reports whether this VM can't read the store.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -192,8 +192,9 @@
 		}
 		if s.local.StoreUnavailable() {
 			_ = link.TrySend(frame{Request: &stateRequest{
-				Version: s.local.ConfigurationVersion(),
-				Runners: true,
+				Version:         s.local.ConfigurationVersion(),
+				Runners:         true,
+				ReadsCompressed: true,
 			}})
 		}
 		if !pause.For(ctx, s.clock, demandInterval) {
@@ -234,8 +235,7 @@
 		s.local.ReceiveHoldings(f.Holdings)
 	case f.Request != nil:
 		sendNewerConfiguration(link, s.local, f.Request)
-	case f.Configuration != nil:
-		s.local.ReceiveConfiguration(f.Configuration)
+	case receiveConfiguration(s.local, f):
 	case f.Runners != nil:
 		s.local.ReceiveRunners(f.Runners)
 	case f.Changes != nil:
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"log/slog"
 	"sync"
@@ -90,6 +92,8 @@
 type EncodedConfiguration struct {
 	Version uint64
 	Encoded []byte
+	// Compressed returns the configuration in DEFLATE format; it is compressed once, for all VMs that request it.
+	Compressed func() []byte
 }
 
 // Options configures a watcher.
@@ -193,13 +197,23 @@
 		return
 	}
 	w.newest.Store(&EncodedConfiguration{
-		Version: c.Version,
-		Encoded: encoded,
+		Version:    c.Version,
+		Encoded:    encoded,
+		Compressed: sync.OnceValue(func() []byte { return deflate(encoded) }),
 	})
 	event.ConfigurationInForce.Log(w.logger, slog.Uint64("Version", c.Version), slog.String("From", from),
 		slog.Int("Routes", len(c.Routes())))
 }
 
+func deflate(content []byte) []byte {
+	var compressed bytes.Buffer
+	// Writes to a buffer don't fail, and the level is valid.
+	writer, _ := flate.NewWriter(&compressed, flate.DefaultCompression)
+	_, _ = writer.Write(content)
+	_ = writer.Close()
+	return compressed.Bytes()
+}
+
 func (w *Watcher) logSkipped(skipped []SkippedRecord) {
 	for _, s := range skipped {
 		event.RecordSkipped.Log(w.logger, slog.String("Key", s.Key), slog.Uint64("Offset", uint64(s.Offset)), event.Error(s.Reason))
--- a/internal/serving/localvm.go
+++ b/internal/serving/localvm.go
@@ -52,6 +52,14 @@
 	return nil
 }
 
+// CompressedConfiguration implements cluster.LocalVM.
+func (s *Server) CompressedConfiguration() []byte {
+	if newest := s.watcher.NewestConfiguration(); newest != nil {
+		return newest.Compressed()
+	}
+	return nil
+}
+
 // Runners implements cluster.LocalVM.
 func (s *Server) Runners() []roster.Runner {
 	all := s.roster.View().All()
