registry: back off for up to two seconds while the store fails

Change: the pause after failed reads grows to 2 s; 0.8 s as before until a VM can serve requests. Test: TestOutageNeedsFewCalls, 48 calls in 20 s before, bound 26 (two in three seconds for each topic); the store's return is still noticed within 4 s.

--- a/internal/registry/cursor.go
+++ b/internal/registry/cursor.go
@@ -29,6 +29,13 @@
 	}
 }
 
+func (w *Watcher) maxBackoff() time.Duration {
+	if w.Ready() {
+		return maxBackoff
+	}
+	return maxStartBackoff
+}
+
 // succeeded records a successful read.
 func (c *cursor) succeeded(next logservice.Offset) {
 	if c.failures > 0 {
@@ -55,5 +62,5 @@
 	}
 	c.failures++
 	pause.For(ctx, c.watcher.clock, c.backoff/2+rand.N(c.backoff))
-	c.backoff = min(2*c.backoff, maxBackoff)
+	c.backoff = min(2*c.backoff, c.watcher.maxBackoff())
 }
--- a/internal/registry/watcher.go
+++ b/internal/registry/watcher.go
@@ -40,9 +40,11 @@
 	// other VMs then read the store themselves. With the time for that, it must be shorter than the time within which a change
 	// must be active.
 	maxReadAge = 1500 * time.Millisecond
-	// minBackoff and maxBackoff bound the pause after a failed read, which doubles with each failure.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = 800 * time.Millisecond
+	// minBackoff and maxBackoff bound the pause after a failed read, which doubles with each failure; maxStartBackoff replaces the
+	// upper bound until this VM can serve requests.
+	minBackoff      = 100 * time.Millisecond
+	maxBackoff      = 2 * time.Second
+	maxStartBackoff = 800 * time.Millisecond
 	// settlePeriod is how long no new runner may appear before a starting system's list of runners counts as complete. Each
 	// runner registers about every second, and all start at once.
 	settlePeriod = 2500 * time.Millisecond
--- a/internal/registry/watcher_test.go
+++ b/internal/registry/watcher_test.go
@@ -37,6 +37,7 @@
 	// hang makes a wait for a configuration change last until its context ends.
 	hang             bool
 	incrementalReads int
+	failedReads      int
 }
 
 func (s *fakeSource) Configuration(context.Context) (registry.Configuration, error) {
@@ -104,6 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
+		s.failedReads++
 		return registry.Runners{}, errDown
 	}
 	s.incrementalReads++
@@ -285,7 +287,7 @@
 func (s *fakeSource) callCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.configurationReads + len(s.waits) + s.fullReads + s.incrementalReads
+	return s.configurationReads + len(s.waits) + s.fullReads + s.incrementalReads + s.failedReads
 }
 
 func TestNotReadyWithoutConfiguration(t *testing.T) {
@@ -476,3 +478,24 @@
 	}
 	require.LessOrEqual(t, f.source.callCount(), before+1)
 }
+
+// During an outage of the store, hundreds of VMs must not call it as often as one alone might.
+func TestOutageNeedsFewCalls(t *testing.T) {
+	f := newFixture(t, false)
+	f.source.update(func(s *fakeSource) { s.version = 3 })
+	f.start(t, f.watcher.WatchConfiguration)
+	f.start(t, f.watcher.WatchRunners)
+	f.advanceUntil(t, f.watcher.Ready)
+	f.source.update(func(s *fakeSource) { s.down = true })
+	f.advanceUntil(t, f.watcher.StoreUnavailable)
+	before := f.source.callCount()
+	for started := f.clock.Now(); f.clock.Since(started) < 20*time.Second; {
+		f.clock.Advance(20 * time.Millisecond)
+		time.Sleep(pollInterval)
+	}
+	require.LessOrEqual(t, f.source.callCount()-before, 2*20*2/3, "two calls in three seconds for each topic")
+	f.source.update(func(s *fakeSource) { s.down = false })
+	restored := f.clock.Now()
+	f.advanceUntil(t, func() bool { return !f.watcher.StoreUnavailable() })
+	require.Less(t, f.clock.Since(restored), 4*time.Second)
+}
