dispatch: refuse at once what can't be answered in time, and ask callers to come back later

Change: package patience: a request for a model that has not been sent is refused if its expected first token is beyond 1.5 objectives. Package loadbalance also says which share of the requests for a model its runners can serve within the service's shortest objective, from the demand of all VMs that the holder now sends with the totals; the excess is refused at random. The service's most urgent requests are always sent, as runners begin them first. Retry-After is the time until a further runner can have the model, at most a third of the caller's time, spread by half. The service time leaves the wait for a slot out.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,11 @@
 package catalog
 
-import "strings"
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Catalog is one version of the operators' configuration; it is immutable.
 type Catalog struct {
@@ -26,11 +31,31 @@
 		c.routesByHost[host] = append(c.routesByHost[host], &routes[i])
 	}
 	for _, service := range services {
+		service.MinObjective, service.FirstPriority = urgency(routes, service.Name)
 		c.services[service.Name] = service
 	}
 	return c
 }
 
+// urgency returns the shortest objective of the routes to a service, 0 if none has one, and the least priority number if others are
+// greater, or else -1.
+func urgency(routes []Route, service string) (shortest time.Duration, first int) {
+	first, last := math.MaxInt, math.MinInt
+	for _, route := range routes {
+		if !slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == service }) {
+			continue
+		}
+		if route.Objective > 0 && (shortest == 0 || route.Objective < shortest) {
+			shortest = route.Objective
+		}
+		first, last = min(first, route.Priority), max(last, route.Priority)
+	}
+	if first >= last {
+		first = -1
+	}
+	return shortest, first
+}
+
 // Match returns the route of the host with the longest prefix of the path.
 func (c *Catalog) Match(host, path string) (*Route, bool) {
 	var best *Route
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -4,7 +4,12 @@
 
 // Service is a group of interchangeable runners.
 type Service struct {
-	Name string
+	// MinObjective is the shortest objective of the routes to the service, 0 if none has one; New sets it.
+	MinObjective time.Duration
+	// FirstPriority is the priority of the most urgent routes to the service, which have the least number, or -1 if all routes are
+	// equally urgent; New sets it.
+	FirstPriority int
+	Name          string
 	// MaxConnections is the number of connections that one runner accepts from all VMs together.
 	MaxConnections int
 	// Engine is nil for services without models.
--- a/internal/cluster/aggregator.go
+++ b/internal/cluster/aggregator.go
@@ -98,6 +98,10 @@
 	}
 	a.local.ReceiveOccupancy(totals)
 	a.hub.broadcast(frame{Occupancy: totals})
+	if requests := a.local.RequestTotals(); len(requests) > 0 {
+		a.local.ReceiveRequestTotals(requests)
+		a.hub.broadcast(frame{Requests: requests})
+	}
 }
 
 // ModelsInUse returns the models and adapters that requests of this VM and of the linked VMs currently use. A request that
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -36,6 +36,8 @@
 	Usage *usageReport `cbor:"Account,omitempty"`
 	// Occupancy is the number of requests of all VMs at each runner, sent by the lease holder.
 	Occupancy roster.Occupancy `cbor:",omitempty"`
+	// Requests is the demand of all VMs for each model, sent by the lease holder.
+	Requests []orders.RequestRate `cbor:"Rates,omitempty"`
 }
 
 type holding = orders.Holding
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -42,6 +42,10 @@
 	Occupancy() roster.Occupancy
 	// ReceiveOccupancy handles the number of requests of all VMs at each runner.
 	ReceiveOccupancy(totals roster.Occupancy)
+	// RequestTotals returns the demand of all VMs for each model, as reported to this VM.
+	RequestTotals() []orders.RequestRate
+	// ReceiveRequestTotals handles the demand of all VMs for each model.
+	ReceiveRequestTotals(totals []orders.RequestRate)
 	// ModelsInUse returns the models and adapters that this VM's requests use.
 	ModelsInUse() []roster.ModelUse
 	// DemandRates returns the demand of this VM's callers.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -242,6 +242,8 @@
 		s.local.ReceiveChanges(f.Changes)
 	case f.Occupancy != nil:
 		s.local.ReceiveOccupancy(f.Occupancy)
+	case f.Requests != nil:
+		s.local.ReceiveRequestTotals(f.Requests)
 	}
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -25,6 +25,9 @@
 	// maxDrainBytes and drainTimeout limit what is read of a response that is not passed on, to reuse its connection.
 	maxDrainBytes = 64 << 10
 	drainTimeout  = 100 * time.Millisecond
+	// maxFirstTokenWork is how long a runner works on a request at most before it sends the first data; beyond that, the request
+	// waited for a slot.
+	maxFirstTokenWork = 150 * time.Millisecond
 	// modelAbsentTTL is how long a runner's statement that it lacks a model is relied on.
 	modelAbsentTTL = time.Second
 )
@@ -45,7 +48,7 @@
 		Adapter: needs.adapter,
 	}
 	c.d.Tracker.requestSent(use, sent)
-	defer func() { c.d.Tracker.requestEnded(c.service.Name, use, c.d.Clock.Now().Sub(sent)) }()
+	defer c.d.Tracker.requestEnded(use)
 	stop := c.cancelOnStall(cancel, pick, sent)
 	response, err := c.d.Sender.Send(ctx, pick.runner, c.request, c.newAttempt(pick.runner))
 	stop()
@@ -64,6 +67,9 @@
 	c.mayHaveRun = true
 	if response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices {
 		retry, refused := c.relay(ctx, pick, response)
+		if c.outcome == Answered {
+			c.d.Tracker.recordServiceTime(c.service.Name, c.serviceTime(sent))
+		}
 		if c.outcome == Answered && c.request.Model != "" {
 			c.d.Demand.RecordDuration(c.service.Name, c.request.Model, c.d.Clock.Now().Sub(sent), c.late())
 		}
@@ -72,6 +78,12 @@
 	return c.handleErrorStatus(ctx, pick, response)
 }
 
+// serviceTime estimates how long the runner worked on the request: since its first data, and a short time before.
+func (c *call) serviceTime(sent time.Time) time.Duration {
+	now := c.d.Clock.Now()
+	return now.Sub(c.firstByteAt) + min(max(c.firstByteAt.Sub(sent), 0), maxFirstTokenWork)
+}
+
 // cancelOnStall cancels an attempt at an idempotent request once the runner has sent nothing to this VM for too long and
 // another runner can take the request. A runner that is merely busy still responds to other requests. The check repeats
 // until stop is called.
@@ -149,7 +161,7 @@
 		return false, refusal.New(http.StatusBadGateway, refusal.EndpointDeclined, "the runners declined the request").WithRan(refusal.Unknown)
 	}
 	return false, refusal.New(http.StatusServiceUnavailable, refusal.EndpointDeclined, "the runner declined the request").
-		WithRetryAfter(busyRetryAfter)
+		WithRetryAfter(c.retryAfter(pick.score))
 }
 
 // drain reads a short response to its end, so that its connection can be reused. One that does not end soon is left unread, and
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/patience"
 	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
@@ -15,15 +17,13 @@
 const (
 	// deadlineGrace is how long after the deadline to wait for the runner's own response to it.
 	deadlineGrace = 60 * time.Millisecond
-	// busyRetryAfter is the Retry-After when the runners are full or unreachable.
-	busyRetryAfter = 300 * time.Millisecond
 	// adapterWaitDivisor limits how long a request waits for an adapter that is being loaded: the limit is the route's
 	// objective divided by it.
 	adapterWaitDivisor = 2
 	// adapterPollInterval is the time between two checks for the adapter.
 	adapterPollInterval = 4 * time.Millisecond
-	// loadRetryAfter is the Retry-After when a model has to be loaded first.
-	loadRetryAfter = 1500 * time.Millisecond
+	// missingModelDelay is how long it takes, beyond the load itself, until a model that no runner has is loaded.
+	missingModelDelay = 500 * time.Millisecond
 	// lowestPriority is the largest priority number that runners accept.
 	lowestPriority = 9
 	// connectionPercent is the percentage of a runner's connections that all VMs together may use.
@@ -160,6 +160,7 @@
 	}
 	if c.service.Engine != nil {
 		needs.model, needs.adapter = c.request.Model, c.request.Adapter
+		needs.limit = c.service.MinObjective
 	}
 	return needs
 }
@@ -174,11 +175,32 @@
 			pick = c.awaitAdapter(ctx, needs)
 		}
 	}
-	if pick.runner != nil {
-		return pick, nil
-	}
 	c.pick = pick
-	return pick, c.noRunnerRefusal(needs)
+	if pick.runner == nil {
+		return pick, c.noRunnerRefusal(needs)
+	}
+	if c.mayRefuse() && (!patience.WorthSending(pick.score, c.route.Objective) || rand.Float64() >= pick.admit) {
+		return pick, refusal.New(http.StatusServiceUnavailable, refusal.TooLate, "the runners are too busy to answer in time").
+			WithRetryAfter(c.retryAfter(max(pick.score-c.route.Objective, c.loadTime(needs.model))))
+	}
+	return pick, nil
+}
+
+// mayRefuse reports whether the request may still be refused because of its expected wait: it needs a model and has not been sent
+// yet. Runners begin the service's most urgent requests before others that wait, so those are always sent.
+func (c *call) mayRefuse() bool {
+	return c.service.Engine != nil && c.request.Model != "" && len(c.tried) == 0 && c.route.Priority > c.service.FirstPriority
+}
+
+// loadTime returns how long it takes until one more runner has loaded a model.
+func (c *call) loadTime(name string) time.Duration {
+	model, _ := c.service.Engine.Model(name)
+	return model.LoadTime
+}
+
+// retryAfter returns the Retry-After of a request that can probably be served in the given time.
+func (c *call) retryAfter(servedIn time.Duration) time.Duration {
+	return patience.RetryAfter(servedIn, c.deadline.Sub(c.d.Clock.Now()), rand.Float64())
 }
 
 // awaitAdapter waits for a short time for an adapter that is being loaded.
@@ -199,9 +221,9 @@
 	}
 	refused := refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, "no runner can take the request now")
 	if needs.model != "" && c.pick.withModel == 0 && needs.adapter == "" {
-		return refused.WithRetryAfter(loadRetryAfter)
+		return refused.WithRetryAfter(c.retryAfter(c.loadTime(needs.model) + missingModelDelay))
 	}
-	return refused.WithRetryAfter(busyRetryAfter)
+	return refused.WithRetryAfter(c.retryAfter(0))
 }
 
 // takeRetry reports whether another attempt is allowed and, if so, takes it from the retry budget.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -25,6 +25,8 @@
 	// many of these could take the request.
 	withModel int
 	ready     int
+	// admit is the share of requests for the model that its runners can serve within the limit.
+	admit float64
 }
 
 // requirements describes the runner that a request needs.
@@ -32,6 +34,8 @@
 	service string
 	model   string
 	adapter string
+	// limit is the wait within which the runners should serve a request, 0 if there is none.
+	limit time.Duration
 	// tried lists the runners that the request was already sent to.
 	tried []string
 }
@@ -58,6 +62,10 @@
 		return best
 	}
 	best.runner = t.compared[i]
+	best.admit = 1
+	if needs.limit > 0 {
+		best.admit = t.picker.Admit(needs.limit, t.knownRate(needs.service, needs.model, now)*float64(len(t.compared))/float64(best.ready))
+	}
 	best.score = expected
 	best.inFlight = t.candidates[i].Own + t.candidates[i].Others
 	best.loadAge = t.candidates[i].Age
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -21,6 +21,8 @@
 	observed map[string]bool
 	// serviceTimes is the moving average of how long a request takes, by service.
 	serviceTimes map[string]time.Duration
+	// requestRates is the demand of all VMs for each model.
+	requestRates map[serviceModel]requestRate
 	// random returns a number in [0, 1).
 	random func() float64
 	// picker, compared and candidates are the memory of a choice.
@@ -29,6 +31,21 @@
 	candidates []loadbalance.Candidate
 }
 
+// serviceModel names a model of a service.
+type serviceModel struct {
+	service string
+	model   string
+}
+
+// requestRate is a number of requests per second as of a time.
+type requestRate struct {
+	perSecond float64
+	at        time.Time
+}
+
+// requestRateTTL is how long a rate counts after it was received.
+const requestRateTTL = 3 * time.Second
+
 // NewTracker returns a tracker that knows nothing yet.
 func NewTracker(roundTrips RoundTrips) *Tracker {
 	return &Tracker{
@@ -38,6 +55,7 @@
 		observed:   make(map[string]bool),
 
 		serviceTimes: make(map[string]time.Duration),
+		requestRates: make(map[serviceModel]requestRate),
 		random:       rand.Float64,
 	}
 }
@@ -152,14 +170,39 @@
 	}
 }
 
-func (t *Tracker) requestEnded(service string, use roster.ModelUse, took time.Duration) {
+// recordServiceTime records how long a runner worked on a request, the wait for a slot not included.
+func (t *Tracker) recordServiceTime(service string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state(use.Runner).ownRequests--
 	if average, ok := t.serviceTimes[service]; ok {
 		took = average + time.Duration(sampleWeight*float64(took-average))
 	}
 	t.serviceTimes[service] = took
+}
+
+// ApplyRequestRate records how many requests per second all VMs get for a model.
+func (t *Tracker) ApplyRequestRate(service, model string, perSecond float64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requestRates[serviceModel{service: service, model: model}] = requestRate{
+		perSecond: perSecond,
+		at:        now,
+	}
+}
+
+// knownRate returns how many requests per second all VMs get for a model, or 0 if it isn't known; the caller holds the lock.
+func (t *Tracker) knownRate(service, model string, now time.Time) float64 {
+	rate := t.requestRates[serviceModel{service: service, model: model}]
+	if now.Sub(rate.at) > requestRateTTL {
+		return 0
+	}
+	return rate.perSecond
+}
+
+func (t *Tracker) requestEnded(use roster.ModelUse) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.state(use.Runner).ownRequests--
 	if t.uses[use]--; t.uses[use] == 0 {
 		delete(t.uses, use)
 	}
--- a/internal/loadbalance/pick.go
+++ b/internal/loadbalance/pick.go
@@ -44,6 +44,9 @@
 	// perRequest and perQueued are what a request adds to the time of the next one while there are free slots and beyond.
 	perRequest float64
 	perQueued  float64
+	// figure is the number of requests by the figures, throughput how many a runner ends per second with all slots in use.
+	figure     float64
+	throughput float64
 }
 
 // Pick returns the index of the candidate for the next request, and the expected time there; random is in [0, 1). It returns -1
@@ -52,12 +55,8 @@
 	if len(candidates) == 0 {
 		return -1, 0
 	}
-	arrivals := p.estimate(candidates)
-	chosen := 0
-	if len(candidates) > 1 {
-		chosen = p.draw(p.level(arrivals), random)
-	}
-	return chosen, time.Duration(p.loads[chosen].cost(p.loads[chosen].level) * float64(time.Second))
+	level := p.level(p.estimate(candidates))
+	return p.draw(level, random), time.Duration(level * float64(time.Second))
 }
 
 // estimate computes the present loads and returns how many requests have arrived since the figures, including the next one. In a
@@ -75,10 +74,12 @@
 			level:      float64(c.Own) + float64(c.Others) - ended,
 			slots:      math.Inf(1),
 			perRequest: requestCost.Seconds(),
+			figure:     float64(c.Own + c.Others),
 		}
 		if c.Slots > 0 {
 			l.slots = float64(c.Slots - 1)
-			l.perQueued = l.perRequest + service/float64(c.Slots)
+			l.throughput = float64(c.Slots) / service
+			l.perQueued = l.perRequest + 1/l.throughput
 		}
 		p.loads = append(p.loads, l)
 	}
@@ -93,16 +94,18 @@
 	return l.base + l.slots*l.perRequest + (requests-l.slots)*l.perQueued
 }
 
-// room returns how many more requests fit until the expected time exceeds the given one.
-func (l *load) room(cost float64) float64 {
-	spare := cost - l.base
-	requests := spare / l.perRequest
-	if requests > l.slots {
-		requests = l.slots + (spare-l.slots*l.perRequest)/l.perQueued
+// capacity returns how many requests fit until the expected time exceeds the given one.
+func (l *load) capacity(cost float64) float64 {
+	spare := max(cost-l.base, 0)
+	if requests := spare / l.perRequest; requests <= l.slots {
+		return requests
 	}
-	return max(requests-l.level, 0)
+	return l.slots + (spare-l.slots*l.perRequest)/l.perQueued
 }
 
+// room returns how many more requests fit until the expected time exceeds the given one.
+func (l *load) room(cost float64) float64 { return max(l.capacity(cost)-l.level, 0) }
+
 // level returns the expected time up to which the given number of arrivals fills the runners.
 func (p *Picker) level(arrivals float64) float64 {
 	low := math.Inf(1)
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -25,6 +25,8 @@
 	// missingMinRate is the number of requests per second above which an adapter counts as requested just now; one request
 	// keeps the rate above it for two seconds.
 	missingMinRate = 0.12
+	// minTotalRate is the number of requests per second over all VMs below which a model's rate is not shared.
+	minTotalRate = 2
 	// failedStepBackoff is how long a runner gets no steps after one that neither changed nor read its models.
 	failedStepBackoff = 500 * time.Millisecond
 	// loadBurst is how many loads from the weight store may start at once beyond its rate.
@@ -110,6 +112,11 @@
 	c.demandReports.store(vm, rates, c.Clock.Now())
 }
 
+// RequestTotals returns the requests per second to each model over all VMs, without models that are requested rarely.
+func (c *Controller) RequestTotals() []RequestRate {
+	return c.demandReports.requestTotals(c.Clock.Now(), minTotalRate)
+}
+
 // RecordMissing records a request for a model or adapter that no runner has, and requests an early plan.
 func (c *Controller) RecordMissing(service, model, adapter string) {
 	c.missingMeter.RecordRequest(service, model, adapter, c.Clock.Now())
--- a/internal/orders/demand.go
+++ b/internal/orders/demand.go
@@ -59,6 +59,35 @@
 	return d, len(r.byVM)
 }
 
+// requestTotals returns the requests per second to each model over all VMs, as far as they are at least minimum.
+func (r *demandReports) requestTotals(now time.Time, minimum float64) []RequestRate {
+	type key struct{ service, model string }
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sums := make(map[key]float64)
+	for _, report := range r.byVM {
+		if now.Sub(report.receivedAt) > demandReportTTL {
+			continue
+		}
+		for _, rate := range report.rates {
+			if rate.Adapter == "" {
+				sums[key{service: rate.Service, model: rate.Model}] += rate.Requests
+			}
+		}
+	}
+	var totals []RequestRate
+	for k, requests := range sums {
+		if requests >= minimum {
+			totals = append(totals, RequestRate{
+				Service:  k.service,
+				Model:    k.model,
+				Requests: float32(requests),
+			})
+		}
+	}
+	return totals
+}
+
 func addRate(d layout.Demand, rate Rate) {
 	if rate.Adapter == "" {
 		d.Work[rate.Model] += rate.Work
--- a/internal/orders/meter.go
+++ b/internal/orders/meter.go
@@ -32,6 +32,14 @@
 	adapter string
 }
 
+// RequestRate is the number of requests per second to a model over all VMs.
+type RequestRate struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Model    string
+	Requests float32
+}
+
 // initialDuration is the assumed duration of a request in seconds before any was measured.
 const initialDuration = 1.0
 
--- /dev/null
+++ b/internal/patience/patience_test.go
@@ -0,0 +1,26 @@
+package patience_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowsliparch/cowsliparch/internal/patience"
+)
+
+func TestRetryAfterIsSpreadWithinCallersTime(t *testing.T) {
+	const left = 6 * time.Second
+	early, late := patience.RetryAfter(time.Second, left, 0), patience.RetryAfter(time.Second, left, 0.999)
+	require.Less(t, early, time.Second)
+	require.Greater(t, late, time.Second)
+	require.LessOrEqual(t, patience.RetryAfter(time.Minute, left, 0.999), left/3)
+	require.Positive(t, patience.RetryAfter(0, 100*time.Millisecond, 0))
+	require.Greater(t, patience.RetryAfter(time.Minute, 0, 0), 30*time.Second, "the caller's time is unknown")
+}
+
+func TestRequestsBeyondObjectiveAreNotWorthSending(t *testing.T) {
+	require.True(t, patience.WorthSending(500*time.Millisecond, 500*time.Millisecond))
+	require.False(t, patience.WorthSending(time.Second, 500*time.Millisecond))
+	require.True(t, patience.WorthSending(time.Hour, 0), "the route has no objective")
+}
--- a/internal/serving/localvm.go
+++ b/internal/serving/localvm.go
@@ -112,6 +112,17 @@
 	s.tracker.ApplyOccupancy(totals, s.Clock.Now())
 }
 
+// RequestTotals implements cluster.LocalVM.
+func (s *Server) RequestTotals() []orders.RequestRate { return s.controller.RequestTotals() }
+
+// ReceiveRequestTotals implements cluster.LocalVM.
+func (s *Server) ReceiveRequestTotals(totals []orders.RequestRate) {
+	now := s.Clock.Now()
+	for _, total := range totals {
+		s.tracker.ApplyRequestRate(total.Service, total.Model, float64(total.Requests), now)
+	}
+}
+
 // DemandRates implements cluster.LocalVM.
 func (s *Server) DemandRates() []orders.Rate { return s.demand.Rates(s.Clock.Now()) }
 
