Mend five faults that a reading of the code had listed

- orderlease: a VM that knew a new tenure only from its holder's messages took the former holder's resignation for one of the new tenure and claimed the lease beside it.
Heartbeats carry the fencing token; without it, no resignation counts until the records are read.
TestFormerResignationDoesNotEndNewTenure (two VMs held the lease before).
- framelink: a closed link accepted frames.
- layout: a step could have one adapter more than its bound after an eviction.
TestStepsStayWithinBound.
- roster: a registration that differed only in slots, service, failure domain or short notice was neither forwarded nor logged.
TestChangesOfRegistrationAreUpdates.
- serving: a reload with another log level did not say that a restart is needed.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -82,7 +82,8 @@
 	defer v.mu.Unlock()
 	return v.leaseOffset, v.resignedFence
 }
-func (v *fakeVM) HolderHeartbeat(next logservice.Offset) {
+func (v *fakeVM) HeldFence() uint64 { return 5 }
+func (v *fakeVM) HolderHeartbeat(next logservice.Offset, _ uint64) {
 	v.update(func(v *fakeVM) { v.holderOffset = next })
 }
 func (v *fakeVM) HolderResigned(fence uint64) {
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -79,6 +79,8 @@
 	Members []Member `cbor:",omitempty"`
 	// StoreUnavailable reports that the sender can't read the registrations from the store.
 	StoreUnavailable bool `cbor:"StoreOut,omitempty"`
+	// Fence is the fencing token of the lease that the sender holds, 0 if it holds none.
+	Fence uint64 `cbor:",omitempty"`
 	// LeaseOffset is how far the sender has read the lease stream.
 	LeaseOffset logservice.Offset `cbor:"Lease"`
 	// ResignedFence is the fencing token of a lease that the sender gave up without being able to record the release.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -140,6 +140,7 @@
 	offset, resigned := h.local.LeaseStatus()
 	return &heartbeat{
 		HoldsLease:       h.local.HoldsLease(),
+		Fence:            h.local.HeldFence(),
 		Version:          h.local.ConfigurationVersion(),
 		StoreUnavailable: h.local.StoreUnavailable() || h.local.ReadsOverdue(),
 		MemberCount:      h.MemberCount(),
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -269,7 +269,7 @@
 	}
 	s.mu.Unlock()
 	if beat.HoldsLease {
-		s.local.HolderHeartbeat(beat.LeaseOffset)
+		s.local.HolderHeartbeat(beat.LeaseOffset, beat.Fence)
 	}
 	requestNewerConfiguration(link, s.local, beat.Version)
 }
--- a/internal/framelink/link.go
+++ b/internal/framelink/link.go
@@ -39,8 +39,9 @@
 type Link[F any] struct {
 	socket *websocket.Conn
 	queue  chan F
-	// done is closed when the link no longer writes frames.
+	// done is closed when the link no longer writes frames; ctx ends before, when the link is closed.
 	done   chan struct{}
+	ctx    context.Context
 	cancel context.CancelFunc
 	// byteCount counts the bytes that this side has sent and received, overhead included.
 	byteCount *atomic.Uint64
@@ -64,6 +65,7 @@
 		socket:    socket,
 		queue:     make(chan F, sendQueueFrames),
 		done:      make(chan struct{}),
+		ctx:       ctx,
 		cancel:    cancel,
 		byteCount: byteCount,
 	}
@@ -99,6 +101,9 @@
 
 // Send queues a frame, waiting while the queue is full; it fails with ClosedError or with the context's error.
 func (l *Link[F]) Send(ctx context.Context, f F) error {
+	if l.ctx.Err() != nil {
+		return &ClosedError{}
+	}
 	select {
 	case l.queue <- f:
 		return nil
@@ -109,8 +114,11 @@
 	}
 }
 
-// TrySend queues a frame unless the queue is full, and reports whether it queued the frame.
+// TrySend queues a frame unless the queue is full or the link is closed, and reports whether it queued the frame.
 func (l *Link[F]) TrySend(f F) bool {
+	if l.ctx.Err() != nil {
+		return false
+	}
 	select {
 	case l.queue <- f:
 		return true
--- a/internal/layout/adapters.go
+++ b/internal/layout/adapters.go
@@ -12,7 +12,7 @@
 const (
 	// maxAdapterCopies is how many runners an adapter is loaded on while there are free adapter slots.
 	maxAdapterCopies = 3
-	// maxStepAdapters is how many adapters one step loads on a runner, so that other steps need not wait long.
+	// maxStepAdapters is how many adapters one step loads and unloads on a runner, so that other steps need not wait long.
 	maxStepAdapters = 4
 	// maxEvictRateShare is the share of a wanted adapter's request rate below which another adapter may be evicted for it.
 	maxEvictRateShare = 0.5
@@ -149,10 +149,18 @@
 		victim.Unload = true
 		p.addToStep(r, victim)
 		p.addToStep(r, wanted.adapter)
-		p.copies[Adapter{Model: victim.Model, Name: victim.Name}]--
+		evicted := Adapter{Model: victim.Model, Name: victim.Name}
+		p.copies[evicted]--
+		delete(p.domains[evicted], r.FailureDomain)
 	}
 }
 
+// hasRoomForEviction reports whether both an unload and a load still fit into the runner's step.
+func (p *adapterPlan) hasRoomForEviction(r *Runner) bool {
+	step := p.steps[r.ID]
+	return step == nil || len(step.Adapters)+2 <= maxStepAdapters
+}
+
 func (p *adapterPlan) addToStep(r *Runner, a Adapter) {
 	step, ok := p.steps[r.ID]
 	if !ok {
@@ -206,7 +214,7 @@
 	}
 	minRate := math.Inf(1)
 	for _, r := range p.candidates[wanted.adapter.Model] {
-		if !p.canTake(r, wanted.adapter) {
+		if !p.canTake(r, wanted.adapter) || !p.hasRoomForEviction(r) {
 			continue
 		}
 		for model, adapters := range r.Models {
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -355,3 +355,22 @@
 	plain.Adapters["m0"] = rates
 	require.Contains(t, loadedModels(plain), "m0")
 }
+
+// A step with an eviction, which is an unload and a load, must not exceed the bound either.
+func TestStepsStayWithinBound(t *testing.T) {
+	e := engine(1, 20)
+	e.AdapterSlots = 6
+	r := runner("r1", "a", "m0")
+	r.Models["m0"] = []string{"a1", "a2", "a3"}
+	d := demand(map[string]float64{"m0": 100})
+	d.Adapters["m0"] = map[string]float64{"a1": 0.01, "a2": 0.01, "a3": 0.01}
+	d.Missing = make(map[layout.Adapter]bool)
+	for i := range 9 {
+		name := fmt.Sprintf("a%d", i+10)
+		d.Adapters["m0"][name] = 5
+		d.Missing[layout.Adapter{Model: "m0", Name: name}] = true
+	}
+	for _, step := range layout.PlanAdapters(e, []*layout.Runner{r}, d) {
+		require.LessOrEqual(t, len(step.Adapters), 4)
+	}
+}
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	maxReadWait = 4 * time.Second
 	// resolveReadTimeout bounds one read of the stream after a renewal of unknown outcome.
 	resolveReadTimeout = 400 * time.Millisecond
+	// unknownFence stands for the fencing token of a tenure whose records were not read; no VM has given it up.
+	unknownFence = math.MaxUint64
 	// claimJitter bounds the random delay that keeps the claims of several VMs apart.
 	claimJitter = 200 * time.Millisecond
 )
@@ -115,16 +118,22 @@
 	return l.newest, l.hasRecord && !l.newest.Released
 }
 
-// HolderSeen records that the holder sent a message over its link, and up to which offset it has read the stream.
-// This VM need not read those records: it counts the term of the newest one from the arrival of the message, which is later
-// than the record.
-func (l *Lease) HolderSeen(next logservice.Offset) {
+// HolderSeen records that the holder sent a message over its link, up to which offset it has read the stream, and its fencing token,
+// 0 if it does not tell. This VM need not read those records: it counts the term of the newest one from the arrival of the message,
+// which is later than the record.
+func (l *Lease) HolderSeen(next logservice.Offset, fence uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastContact = l.bootClock.Elapsed()
-	if next > l.nextOffset {
-		l.nextOffset = next
-		l.newestSeenAt = l.lastContact
+	if next <= l.nextOffset {
+		return
+	}
+	l.nextOffset = next
+	l.newestSeenAt = l.lastContact
+	// Without the records, an earlier resignation could be taken for one of the newest tenure.
+	l.newestFence = max(l.newestFence, fence)
+	if fence == 0 {
+		l.newestFence = unknownFence
 	}
 }
 
--- a/internal/orderlease/lease_test.go
+++ b/internal/orderlease/lease_test.go
@@ -411,7 +411,7 @@
 	f.start(t, f.vms[1])
 	f.advanceUntil(t, func() bool { _, ok := f.vms[1].lease.Holder(); return ok })
 	next, _ := f.vms[0].lease.ReadOffset()
-	f.vms[1].lease.HolderSeen(next)
+	f.vms[1].lease.HolderSeen(next, fence(f.vms[0]))
 	require.True(t, f.vms[1].lease.HolderSeenRecently())
 	position, _ := f.vms[1].lease.ReadOffset()
 	require.Equal(t, next, position)
@@ -471,7 +471,7 @@
 	before, _ := f.stream.counts()
 	for started := f.clock.Now(); f.clock.Since(started) < 10*time.Second; {
 		next, _ := f.vms[0].lease.ReadOffset()
-		f.vms[1].lease.HolderSeen(next)
+		f.vms[1].lease.HolderSeen(next, fence(f.vms[0]))
 		until := f.clock.Now().Add(500 * time.Millisecond)
 		f.advanceUntil(t, func() bool { return !f.clock.Now().Before(until) })
 	}
@@ -487,7 +487,7 @@
 	f.start(t, f.vms[1])
 	f.advanceUntil(t, func() bool { _, known := f.vms[1].lease.Holder(); return known })
 	next, _ := f.vms[0].lease.ReadOffset()
-	f.vms[1].lease.HolderSeen(next)
+	f.vms[1].lease.HolderSeen(next, fence(f.vms[0]))
 	f.vms[0].lease.Release(t.Context())
 	select {
 	case <-f.vms[0].resigned:
@@ -500,3 +500,36 @@
 	f.advanceUntil(t, func() bool { return f.holds(1) })
 	require.Less(t, f.clock.Since(released), time.Second)
 }
+
+// A VM that learned of a new tenure only from messages of its holder must not take the resignation of the former holder for one of
+// the new tenure: both would hold the lease for a moment.
+func TestFormerResignationDoesNotEndNewTenure(t *testing.T) {
+	for name, tellsFence := range map[string]bool{"holder tells its fence": true, "holder of an older release": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 3)
+			stop := f.start(t, f.vms[0])
+			f.advanceUntil(t, func() bool { return f.holds(0) })
+			former := fence(f.vms[0])
+			stopWatcher := f.start(t, f.vms[2])
+			f.advanceUntil(t, func() bool { _, known := f.vms[2].lease.Holder(); return known })
+			stopWatcher()
+			stop()
+			f.start(t, f.vms[1])
+			f.advanceUntil(t, func() bool { return f.holds(1) })
+			next, _ := f.vms[1].lease.ReadOffset()
+			told := uint64(0)
+			if tellsFence {
+				told = fence(f.vms[1])
+			}
+			f.vms[2].lease.HolderSeen(next, told)
+			f.vms[2].lease.HolderResigned(former)
+			f.start(t, f.vms[2])
+			for started := f.clock.Now(); f.clock.Since(started) < 2*term; {
+				until := f.clock.Now().Add(20 * time.Millisecond)
+				f.advanceUntil(t, func() bool { return !f.clock.Now().Before(until) })
+				require.False(t, f.holds(2))
+				require.True(t, f.holds(1))
+			}
+		})
+	}
+}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -120,3 +120,27 @@
 	require.False(t, r.HasLoaded("m", "a2"))
 	require.False(t, r.HasLoaded("n", ""))
 }
+
+// Whatever other VMs need of a registration counts as a change of state when it changes.
+func TestChangesOfRegistrationAreUpdates(t *testing.T) {
+	for name, change := range map[string]func(*roster.Runner){
+		"slots":          func(r *roster.Runner) { r.Slots = 9 },
+		"service":        func(r *roster.Runner) { r.Service = "other" },
+		"failure domain": func(r *roster.Runner) { r.FailureDomain = "z" },
+		"short notice":   func(r *roster.Runner) { r.Remaining = time.Second },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New()
+			before := &roster.Runner{ID: "a", Service: "s", Slots: 8, FailureDomain: "d", Heartbeat: 1}
+			now := time.Unix(1000, 0)
+			r.Apply([]roster.Change{{ID: "a", Runner: before}}, now)
+			after := *before
+			after.Heartbeat = 2
+			require.Empty(t, r.Apply([]roster.Change{{ID: "a", Runner: &after}}, now), "a mere heartbeat")
+			changed := after
+			changed.Heartbeat = 3
+			change(&changed)
+			require.Len(t, r.Apply([]roster.Change{{ID: "a", Runner: &changed}}, now), 1)
+		})
+	}
+}
--- a/internal/roster/runner.go
+++ b/internal/roster/runner.go
@@ -59,9 +59,12 @@
 	return r.Heartbeat > other.Heartbeat
 }
 
-// sameState reports whether two registrations agree in incarnation, address, draining state and loaded models.
+// sameState reports whether two registrations agree in all that other VMs need: everything but the heartbeat, the copies of
+// weights, and how much of the time until a shutdown remains.
 func (r *Runner) sameState(other *Runner) bool {
 	return r.Address == other.Address && r.Draining == other.Draining && r.Incarnation == other.Incarnation &&
+		r.Service == other.Service && r.FailureDomain == other.FailureDomain && r.Slots == other.Slots &&
+		(r.Remaining > 0) == (other.Remaining > 0) &&
 		slices.EqualFunc(r.Models, other.Models, func(a, b LoadedModel) bool {
 			return a.Model == b.Model && slices.Equal(a.Adapters, b.Adapters)
 		})
--- a/internal/serving/localvm.go
+++ b/internal/serving/localvm.go
@@ -35,8 +35,16 @@
 	return s.lease.ReadOffset()
 }
 
+// HeldFence implements cluster.LocalVM.
+func (s *Server) HeldFence() uint64 {
+	fence, _ := s.lease.Fence()
+	return fence
+}
+
 // HolderHeartbeat implements cluster.LocalVM.
-func (s *Server) HolderHeartbeat(next logservice.Offset) { s.lease.HolderSeen(next) }
+func (s *Server) HolderHeartbeat(next logservice.Offset, fence uint64) {
+	s.lease.HolderSeen(next, fence)
+}
 
 // HolderResigned implements cluster.LocalVM.
 func (s *Server) HolderResigned(fence uint64) { s.lease.HolderResigned(fence) }
--- a/internal/serving/reload.go
+++ b/internal/serving/reload.go
@@ -47,8 +47,13 @@
 	s.settings.Store(&read)
 	s.retryBudget.SetLimits(retryLimits(read), s.vmCount())
 	event.SettingsReloaded.Log(s.Logger, slog.Bool("Changed", true), slog.Any("Limits", read.Limits),
-		slog.Bool("RestartNeeded", !reflect.DeepEqual(before.VM, read.VM) || before.Platform != read.Platform ||
-			before.Control != read.Control))
+		slog.Bool("RestartNeeded", needsRestart(before, read)))
+}
+
+// needsRestart reports whether settings differ in more than the limits, which alone take effect at once.
+func needsRestart(before, after settings.Serving) bool {
+	after.Limits = before.Limits
+	return !reflect.DeepEqual(before, after)
 }
 
 // currentSettings returns the newest valid settings.
