--- a/internal/layout/bench_test.go
+++ b/internal/layout/bench_test.go
@@ -32,7 +32,7 @@
 }
 
 func BenchmarkModels(b *testing.B) {
-	for _, size := range [][2]int{{9, 17}, {100, 200}, {100, 1800}} {
+	for _, size := range [][2]int{{9, 17}, {100, 200}, {100, 1800}, {192, 319}, {600, 1800}} {
 		b.Run(fmt.Sprintf("runners=%d/models=%d", size[0], size[1]), func(b *testing.B) {
 			runners, d := benchmarkInput(size[0], size[1], 0)
 			e := engine(size[1], 0)
@@ -45,7 +45,7 @@
 }
 
 func BenchmarkAdapters(b *testing.B) {
-	for _, size := range [][2]int{{9, 17}, {100, 200}} {
+	for _, size := range [][2]int{{9, 17}, {100, 200}, {192, 319}, {600, 1800}} {
 		b.Run(fmt.Sprintf("runners=%d/models=%d", size[0], size[1]), func(b *testing.B) {
 			runners, d := benchmarkInput(size[0], size[1], 5)
 			e := engine(size[1], 5)
