--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -244,7 +244,7 @@
 			e.announce(a.Model, a.Name, true)
 			return false
 		}
-		e.setAdapters(a.Model, slices.DeleteFunc(slices.Clone(adapters), func(name string) bool { return name == a.Name }))
+		e.recordAdapter(a, false)
 		return true
 	}
 	if loaded || e.adapterCount() >= e.service.Engine.AdapterSlots {
@@ -253,7 +253,7 @@
 	if !e.sendOrder(ctx, Order{Model: a.Model, Adapter: a.Name}) {
 		return false
 	}
-	e.setAdapters(a.Model, append(slices.Clone(adapters), a.Name))
+	e.recordAdapter(a, true)
 	e.loadedAdapters = append(e.loadedAdapters, a)
 	pause.For(ctx, e.controller.Clock, adapterLoadTime)
 	e.announce(a.Model, a.Name, true)
@@ -275,6 +275,19 @@
 	}
 }
 
+// recordAdapter records an adapter change in the newest state: a conflict may have replaced it while the order was sent.
+func (e *stepExecution) recordAdapter(a layout.Adapter, held bool) {
+	adapters, hasModel := e.models[a.Model]
+	if !hasModel {
+		return
+	}
+	adapters = slices.DeleteFunc(slices.Clone(adapters), func(name string) bool { return name == a.Name })
+	if held {
+		adapters = append(adapters, a.Name)
+	}
+	e.setAdapters(a.Model, adapters)
+}
+
 func (e *stepExecution) setAdapters(model string, adapters []string) {
 	e.models = maps.Clone(e.models)
 	e.models[model] = adapters
