--- a/internal/orders/conflict_test.go
+++ b/internal/orders/conflict_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"log/slog"
 	"slices"
 	"testing"
 
-	"github.com/jonboulle/clockwork"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
@@ -55,24 +52,12 @@
 // Of two VMs that both send orders for a moment, one gets a conflict for an adapter that the other has ordered. It must go on from
 // what the runner then reports, not from what it knew before, or it orders more adapters than the runner has slots for.
 func TestConflictReplacesKnownAdapters(t *testing.T) {
-	registration := &roster.Runner{ID: "r0", Service: "s", Incarnation: 1}
-	known := roster.New()
-	clock := clockwork.NewRealClock()
-	known.Apply([]roster.Change{{ID: "r0", Runner: registration}}, clock.Now())
 	client := &contestedRunner{slots: 4}
+	controller, registration := newStepController(client)
 	e := &stepExecution{
-		controller: New(Dependencies{
-			Lease:    heldLease{},
-			Roster:   known.View,
-			Client:   client,
-			Announce: func([]Holding) {},
-			InUse:    func() map[roster.ModelUse]bool { return nil },
-			Metrics:  NewMetrics(prometheus.NewRegistry()),
-			Clock:    clock,
-			Logger:   slog.New(slog.DiscardHandler),
-		}),
-		state:  &runnerState{},
-		runner: registration,
+		controller: controller,
+		state:      &runnerState{},
+		runner:     registration,
 		step: layout.Step{Runner: "r0", Adapters: []layout.Adapter{
 			{Model: "m0", Name: "a1"}, {Model: "m0", Name: "a2"}, {Model: "m0", Name: "a3"}, {Model: "m0", Name: "a4"},
 		}},
--- a/internal/orders/restart_test.go
+++ b/internal/orders/restart_test.go
@@ -32,8 +32,8 @@
 	return Report{Incarnation: 2, Orders: uint64(len(r.orders))}, nil
 }
 
-func newRestartFixture() (*Controller, *restartedRunner, *roster.Runner) {
-	client := &restartedRunner{}
+// newStepController returns a controller that holds the lease, with one runner.
+func newStepController(client Client) (*Controller, *roster.Runner) {
 	registration := &roster.Runner{ID: "r0", Service: "s", Incarnation: 1}
 	known := roster.New()
 	clock := clockwork.NewRealClock()
@@ -47,7 +47,7 @@
 		Metrics:  NewMetrics(prometheus.NewRegistry()),
 		Clock:    clock,
 		Logger:   slog.New(slog.DiscardHandler),
-	}), client, registration
+	}), registration
 }
 
 // A runner that restarted under its ID counts orders anew, so a step planned for the earlier incarnation could be accepted there,
@@ -59,7 +59,8 @@
 		"after an unload":        {Runner: "r0", Unload: []string{"m0"}, Load: "m1"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			controller, client, registration := newRestartFixture()
+			client := &restartedRunner{}
+			controller, registration := newStepController(client)
 			e := &stepExecution{
 				controller: controller,
 				state:      &runnerState{},
@@ -80,7 +81,7 @@
 
 // No second step may begin at a runner while the one for its earlier incarnation goes on.
 func TestRestartedRunnerStaysBusyUntilStepEnds(t *testing.T) {
-	controller, _, registration := newRestartFixture()
+	controller, registration := newStepController(&restartedRunner{})
 	state := &runnerState{}
 	state.updateRegistration(registration)
 	state.busy = true
