dispatch: log what a caller had received, and which attempts were canceled

Event 1904 did not tell a caller that got part of a stream from one that got no byte, nor an attempt that this VM gave up from one that its runner broke off. These are the two things that distinguish the hypotheses of the incident with cut requests.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -48,7 +48,9 @@
 	// mayHaveRun is set once an attempt was written and the runner did not state that it did not execute it.
 	mayHaveRun      bool
 	responseStarted bool
-	events          eventSplitter
+	// delivered is the number of bytes of the body that were sent to the caller.
+	delivered int
+	events    eventSplitter
 	// status is the HTTP status that the caller received; a resumed stream keeps that of its first response.
 	status      int
 	outcome     Outcome
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"log/slog"
 	"net/http"
 
@@ -31,6 +32,7 @@
 		slog.String("Adapter", c.request.Adapter),
 		slog.String("Runner", c.runner),
 		slog.Int("Sends", c.attempts),
+		slog.Int("Delivered", c.delivered),
 		slog.Int64("TookMS", now.Sub(c.request.Arrived).Milliseconds()),
 		slog.Int64("LeftMS", c.request.MaxWait.Milliseconds()),
 	}
@@ -79,6 +81,8 @@
 		slog.String("Address", pick.runner.Address),
 		slog.Int("Sends", c.attempts),
 		slog.Uint64("Heartbeat", pick.runner.Heartbeat),
+		slog.Bool("Canceled", errors.Is(err, errStalled)),
+		slog.Int("Delivered", c.delivered),
 		event.Error(err))
 	c.d.Metrics.sendFailed(c.service.Name)
 }
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -35,12 +35,21 @@
 	c.firstByteAt = c.d.Clock.Now()
 	c.status = response.Status
 	c.recordComplete(pick, response.Status)
-	if c.caller.WriteHeader(response.Status, response.Header, int64(len(body))) != nil || c.caller.Write(body) != nil {
+	if c.caller.WriteHeader(response.Status, response.Header, int64(len(body))) != nil || c.write(body) != nil {
 		c.outcome = Left
 	}
 	return false, nil
 }
 
+// write sends a part of the body to the caller and counts its bytes.
+func (c *call) write(piece []byte) error {
+	if err := c.caller.Write(piece); err != nil {
+		return err
+	}
+	c.delivered += len(piece)
+	return nil
+}
+
 // recordComplete records that a runner's response was received to its end.
 func (c *call) recordComplete(pick choice, status int) {
 	if status >= http.StatusMultipleChoices {
@@ -65,7 +74,7 @@
 	c.responseStarted = true
 	c.firstByteAt = c.d.Clock.Now()
 	c.status = response.Status
-	if c.caller.WriteHeader(response.Status, response.Header, response.Length) != nil || c.caller.Write(buffered) != nil {
+	if c.caller.WriteHeader(response.Status, response.Header, response.Length) != nil || c.write(buffered) != nil {
 		c.outcome = Left
 		return false, nil
 	}
@@ -75,7 +84,7 @@
 		if relayed += n; response.Length < 0 && relayed > maxUnboundedBytes {
 			err = &BodyTooLargeError{Limit: maxUnboundedBytes}
 		}
-		if n > 0 && c.caller.Write(buffer[:n]) != nil {
+		if n > 0 && c.write(buffer[:n]) != nil {
 			c.outcome = Left
 			return false, nil
 		}
@@ -157,7 +166,7 @@
 	}
 	c.pendingSince = time.Time{}
 	c.recordWrite(c.d.Clock.Now())
-	if c.caller.Write(events) != nil {
+	if c.write(events) != nil {
 		c.outcome = Left
 		return true, nil
 	}
