--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -137,6 +137,7 @@
 type fakeCaller struct {
 	mu         sync.Mutex
 	status     int
+	header     http.Header
 	body       string
 	refused    *refusal.Refusal
 	aborted    bool
@@ -145,10 +146,11 @@
 
 var errDisconnected = errors.New("caller disconnected")
 
-func (c *fakeCaller) WriteHeader(status int, _ http.Header, _ int64) error {
+func (c *fakeCaller) WriteHeader(status int, header http.Header, _ int64) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.status = status
+	c.header = header
 	return nil
 }
 
