--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -42,9 +42,9 @@
 	CallAnswered          = Event{Number: 1901, Name: "CallAnswered", Level: slog.LevelInfo, Meaning: "A runner answered a request.", Action: "None."}
 	CallRefused           = Event{Number: 1902, Name: "CallRefused", Level: slog.LevelInfo, Meaning: "A request was refused without being run.", Action: "See Reason, Holders and Ready; events 3201 to 3205 show why the models are where they are."}
 	CallFailed            = Event{Number: 1903, Name: "CallFailed", Level: slog.LevelWarn, Meaning: "A request ended with an error, returned by the runner or by this VM on its behalf.", Action: "See the 1906 events of the same request."}
-	CallAborted           = Event{Number: 1904, Name: "CallAborted", Level: slog.LevelWarn, Meaning: "A response was broken off after it had begun.", Action: "See the 1906 events of the same request."}
+	CallAborted           = Event{Number: 1904, Name: "CallAborted", Level: slog.LevelWarn, Meaning: "A response was broken off after it had begun; the caller received `Delivered` bytes of its body.", Action: "See the 1906 events of the same request."}
 	CallerLeft            = Event{Number: 1905, Name: "CallerLeft", Level: slog.LevelInfo, Meaning: "The caller disconnected before the end of the response.", Action: "None."}
-	SendFailed            = Event{Number: 1906, Name: "SendFailed", Level: slog.LevelInfo, Meaning: "One attempt to send a request to a runner failed.", Action: "Check the runner if it repeats."}
+	SendFailed            = Event{Number: 1906, Name: "SendFailed", Level: slog.LevelInfo, Meaning: "One attempt to send a request to a runner failed; `Canceled` is set if this VM ended it because the runner was silent.", Action: "Check the runner if it repeats."}
 	StreamResumed         = Event{Number: 1907, Name: "StreamResumed", Level: slog.LevelInfo, Meaning: "A stream continues at another runner.", Action: "None."}
 	RunnerRegistered      = Event{Number: 2001, Name: "RunnerRegistered", Level: slog.LevelInfo, Meaning: "A runner registered for the first time, or as a new incarnation.", Action: "None."}
 	RunnerChanged         = Event{Number: 2002, Name: "RunnerChanged", Level: slog.LevelInfo, Meaning: "A runner's registration changed.", Action: "None."}
