dispatch: give up a silent runner only once another one has answered

Callers saw: the connection of a request that had been received whole was closed without an answer or a refusal, beside changes of the configuration and at any other time, while the runner was sound and only silent for a second.

Cause: a commitment was made before what it relied on was there, in two places. A stream whose runner was silent for a second was canceled, and only then was another runner asked; if that one declined, was not reached, failed or broke off, nothing was left but to close the connection. And a stream counted as begun once its head was handed to the writer, which sends it with the first event, so that a caller who had received no byte was cut off too, also at the deadline.

Now the attempt at the silent runner goes on beside a second one. Whichever has events (or a whole response) to pass on first is preferred, and the other one is stopped in the same moment, so no request goes on at two runners. A failed second attempt costs the caller nothing. The head is sent with the first event; until then the caller gets an error response.

Tests changed: TestBusyRunnerIsKept had its stand-in answer a stream with bytes that are no event and looked at the status only; it sends an event now, and the body is checked too.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -42,15 +41,21 @@
 	version  uint64
 	deadline time.Time
 
-	// tried lists the runners chosen so far; attempts counts the attempts that reached a runner.
+	// tried lists the runners chosen so far; attempts counts the attempts that reached a runner or may still do.
 	tried    []string
 	attempts int
+	// current is the attempt whose response is passed on. standby is a second one, begun because the runner of the first is
+	// silent; it takes over once it has something to pass on.
+	current *attempt
+	standby *attempt
 	// mayHaveRun is set once an attempt was written and the runner did not state that it did not execute it.
-	mayHaveRun      bool
+	mayHaveRun bool
+	// responseStarted is set once a part of a response was sent to the caller, whose head is then settled.
 	responseStarted bool
 	// delivered is the number of bytes of the body that were sent to the caller.
 	delivered int
-	events    eventSplitter
+	// lastEventID is the ID of the last event that the caller has.
+	lastEventID string
 	// status is the HTTP status that the caller received; a resumed stream keeps that of its first response.
 	status      int
 	outcome     Outcome
@@ -62,8 +67,6 @@
 	// writes.
 	lastWriteAt time.Time
 	longestGap  time.Duration
-	// pendingSince is when the first bytes of the incomplete event arrived, zero if there is none.
-	pendingSince time.Time
 }
 
 // Outcome is how a request ended.
@@ -83,10 +86,10 @@
 	Left Outcome = "Left"
 )
 
-// errDeadline and errStalled are the causes with which an attempt is canceled.
+// errDeadline and errSilent are the causes with which an attempt is canceled.
 var (
 	errDeadline = &CanceledError{Cause: "the request's time is over"}
-	errStalled  = &CanceledError{Cause: "the runner stopped sending data and another one can take over"}
+	errSilent   = &CanceledError{Cause: "the runner was silent and another one took over"}
 )
 
 // CanceledError reports why this VM canceled an attempt.
@@ -97,63 +100,6 @@
 // Error implements error.
 func (e *CanceledError) Error() string { return e.Cause }
 
-// run makes attempts until one is answered or no further one is allowed; it returns a refusal only if nothing has been sent
-// to the caller.
-func (c *call) run(ctx context.Context) *refusal.Refusal {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := c.d.Clock.AfterFunc(c.deadline.Sub(c.d.Clock.Now())+deadlineGrace, func() { cancel(errDeadline) })
-	defer timer.Stop()
-	for {
-		pick, refused := c.pickRunner(ctx)
-		if refused != nil {
-			return c.giveUp(refused)
-		}
-		retry, refused := c.attempt(ctx, pick)
-		if ctx.Err() != nil {
-			return c.handleCancel(ctx)
-		}
-		if !retry {
-			return c.giveUp(refused)
-		}
-	}
-}
-
-// giveUp returns the refusal, or aborts the connection if the response has already started.
-func (c *call) giveUp(refused *refusal.Refusal) *refusal.Refusal {
-	if refused != nil && c.responseStarted {
-		c.abort(refused.Message)
-		return nil
-	}
-	return refused
-}
-
-// handleCancel ends a request whose caller disconnected or whose deadline has passed.
-func (c *call) handleCancel(ctx context.Context) *refusal.Refusal {
-	if !errors.Is(context.Cause(ctx), errDeadline) {
-		c.outcome = Left
-		return nil
-	}
-	if c.outcome == Answered {
-		return nil
-	}
-	if c.responseStarted {
-		c.abort(errDeadline.Cause)
-		return nil
-	}
-	refused := refusal.New(http.StatusGatewayTimeout, refusal.TooLate, errDeadline.Cause)
-	if c.mayHaveRun {
-		refused = refused.WithRan(refusal.Unknown)
-	}
-	return refused
-}
-
-func (c *call) abort(reason string) {
-	c.outcome = Aborted
-	c.reason = reason
-	c.caller.Abort()
-}
-
 // requirements describes the runner that the next attempt needs.
 func (c *call) requirements() requirements {
 	needs := requirements{
@@ -246,7 +192,7 @@
 func (c *call) newAttempt(runner *roster.Runner) Attempt {
 	a := Attempt{
 		Remaining:   c.deadline.Sub(c.d.Clock.Now()),
-		ResumeAfter: c.events.lastID,
+		ResumeAfter: c.lastEventID,
 		Priority:    min(max(c.route.Priority, 0), lowestPriority),
 	}
 	if c.service.MaxConnections > 0 && runner != nil {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -188,7 +188,7 @@
 	require.Eventually(t, func() bool { return h.sender.count() == 1 }, waitTimeout, pollInterval)
 	h.sender.mu.Lock()
 	busy := h.sender.runners[0]
-	h.sender.replies = []reply{hang, respond(200, "ok")}
+	h.sender.replies = []reply{hang, respond(200, "data: ok\n\n")}
 	h.sender.mu.Unlock()
 	// Only the busy runner is left for the other requests, and it answers each of them.
 	for id := range h.roster.View().All() {
@@ -202,6 +202,7 @@
 		r := h.request("/once/")
 		h.dispatcher.Serve(t.Context(), r, other)
 		require.Equal(t, 200, other.status)
+		require.Equal(t, "data: ok\n\n", other.body)
 	}
 	disconnect()
 	<-done
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -94,7 +94,7 @@
 	}
 	c.d.RetryBudget.RecordRequest(c.service.Name, c.d.Clock.Now())
 	c.deadline = c.request.Arrived.Add(c.timeout())
-	c.events.lastID = c.request.ResumeAfter
+	c.lastEventID = c.request.ResumeAfter
 	return nil
 }
 
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -81,7 +81,7 @@
 		slog.String("Address", pick.runner.Address),
 		slog.Int("Sends", c.attempts),
 		slog.Uint64("Heartbeat", pick.runner.Heartbeat),
-		slog.Bool("Canceled", errors.Is(err, errStalled)),
+		slog.Bool("Canceled", errors.Is(err, errSilent)),
 		slog.Int("Delivered", c.delivered),
 		event.Error(err))
 	c.d.Metrics.sendFailed(c.service.Name)
@@ -91,6 +91,12 @@
 	event.StreamResumed.Log(c.d.Logger,
 		slog.String("Request", c.request.ID),
 		slog.String("Runner", pick.runner.ID),
-		slog.String("After", c.events.lastID))
+		slog.String("After", c.lastEventID))
 	c.d.Metrics.streamResumed(c.service.Name)
 }
+
+// recordRunner notes the runner whose response is to be passed on.
+func (c *call) recordRunner(a *attempt) {
+	c.pick = a.pick
+	c.runner = a.pick.runner.ID
+}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -7,59 +7,19 @@
 	"net/http"
 	"time"
 
-	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 )
 
 const (
-	// chunkBytes is how much of a stream is read at once; chunkQueue is how many chunks may wait for the caller.
-	chunkBytes = 4 << 10
-	chunkQueue = 4
-	// streamStall is how long a runner may send nothing at all before its resumable streams move to another one.
-	streamStall = time.Second
-	// eventStall is how long a runner may take to send the bytes of one event before the stream moves, if it can be resumed.
-	eventStall = 2 * time.Second
+	// maxBufferedBytes limits a response that is read completely before any of it is passed on.
+	maxBufferedBytes = 1 << 20
 	// maxUnboundedBytes limits a response that does not state its length and is not a stream.
 	maxUnboundedBytes = 64 << 20
+	// maxFirstTokenWork is how long a runner works on a request at most before it sends the first data; beyond that, the request
+	// waited for a slot.
+	maxFirstTokenWork = 150 * time.Millisecond
 )
 
-// relayBuffered reads a response to its end before passing it on, so that no caller gets a truncated one.
-func (c *call) relayBuffered(ctx context.Context, pick choice, response *Response) (bool, *refusal.Refusal) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	if err != nil {
-		return c.handleTruncation(ctx, pick, err)
-	}
-	if len(body) > maxBufferedBytes {
-		return c.relayUnbuffered(ctx, pick, response, body)
-	}
-	c.firstByteAt = c.d.Clock.Now()
-	c.status = response.Status
-	c.recordComplete(pick, response.Status)
-	if c.caller.WriteHeader(response.Status, response.Header, int64(len(body))) != nil || c.write(body) != nil {
-		c.outcome = Left
-	}
-	return false, nil
-}
-
-// write sends a part of the body to the caller and counts its bytes.
-func (c *call) write(piece []byte) error {
-	if err := c.caller.Write(piece); err != nil {
-		return err
-	}
-	c.delivered += len(piece)
-	return nil
-}
-
-// recordComplete records that a runner's response was received to its end.
-func (c *call) recordComplete(pick choice, status int) {
-	if status >= http.StatusMultipleChoices {
-		c.outcome = Failed
-		return
-	}
-	c.outcome = Answered
-	c.d.Tracker.recordResult(pick.runner, true, c.d.Clock.Now())
-}
-
 // BodyTooLargeError reports a response without a stated length that did not end within the limit.
 type BodyTooLargeError struct {
 	Limit int
@@ -68,122 +28,114 @@
 // Error implements error.
 func (e *BodyTooLargeError) Error() string { return "response does not end within the size limit" }
 
-// relayUnbuffered relays a response that is too large to buffer as it arrives. It breaks off a response that has no stated length
-// and does not end.
-func (c *call) relayUnbuffered(ctx context.Context, pick choice, response *Response, buffered []byte) (bool, *refusal.Refusal) {
-	c.responseStarted = true
-	c.firstByteAt = c.d.Clock.Now()
-	c.status = response.Status
-	if c.caller.WriteHeader(response.Status, response.Header, response.Length) != nil || c.write(buffered) != nil {
-		c.outcome = Left
-		return false, nil
+// handleBody handles a part of the body of a response.
+func (c *call) handleBody(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
+	if len(u.data) > 0 {
+		a.received = true
 	}
-	buffer := make([]byte, chunkBytes)
-	for relayed := len(buffered); ; {
-		n, err := response.Body.Read(buffer)
-		if relayed += n; response.Length < 0 && relayed > maxUnboundedBytes {
-			err = &BodyTooLargeError{Limit: maxUnboundedBytes}
-		}
-		if n > 0 && c.write(buffer[:n]) != nil {
-			c.outcome = Left
-			return false, nil
-		}
-		if errors.Is(err, io.EOF) {
-			c.recordComplete(pick, response.Status)
-			return false, nil
-		}
-		if err != nil {
-			if ctx.Err() == nil {
-				c.recordSendFailure(pick, &endpoint.TruncatedError{Cause: err})
-				c.d.Tracker.recordResult(pick.runner, false, c.d.Clock.Now())
-			}
-			return false, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "the answer broke off")
+	if c.streams(a.response) {
+		return c.relayEvents(ctx, a, u)
+	}
+	return c.relayWhole(a, u)
+}
+
+// relayEvents passes on the events that are complete.
+func (c *call) relayEvents(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
+	events, err := a.feed(u.data, a.lastUpdate)
+	if err != nil {
+		return c.handleBreak(a, err)
+	}
+	if len(events) > 0 && !c.passOn(a, events, -1) {
+		return true, nil
+	}
+	switch {
+	case u.err == nil:
+		if a.eventOverdue(a.lastUpdate) && a == c.current && c.standby == nil && c.route.Idempotent() {
+			c.startStandby(ctx)
 		}
+		return false, nil
+	case !a.complete(u.err):
+		a.response.Close()
+		return c.handleBreak(a, u.err)
+	case !a.begun && !c.passOn(a, nil, -1):
+		return true, nil
+	default:
+		c.recordAnswered(a)
+		return true, nil
 	}
 }
 
-// handleTruncation handles a response that ended early, after the caller received none of it or only complete events.
-func (c *call) handleTruncation(ctx context.Context, pick choice, err error) (bool, *refusal.Refusal) {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
+// relayWhole collects a response until its end, so that no caller gets a truncated one. One that is too large to collect is passed
+// on as it arrives, and broken off if it has no stated length and does not end.
+func (c *call) relayWhole(a *attempt, u update) (bool, *refusal.Refusal) {
+	a.bodyBytes += len(u.data)
+	if a.response.Length < 0 && a.bodyBytes > maxUnboundedBytes {
+		return c.handleBreak(a, &BodyTooLargeError{Limit: maxUnboundedBytes})
+	}
+	a.body = append(a.body, u.data...)
+	ended := errors.Is(u.err, io.EOF)
+	if u.err != nil && !ended {
+		return c.handleBreak(a, u.err)
+	}
+	if !ended && !a.begun && len(a.body) <= maxBufferedBytes {
+		return false, nil
+	}
+	length := a.response.Length
+	if ended {
+		length = int64(a.bodyBytes)
+	}
+	if !c.passOn(a, a.body, length) {
+		return true, nil
+	}
+	a.body = a.body[:0]
+	if !ended {
 		return false, nil
 	}
-	c.recordSendFailure(pick, &endpoint.TruncatedError{Cause: err})
-	c.d.Tracker.recordResult(pick.runner, false, c.d.Clock.Now())
-	return c.retryOrFail("the answer broke off")
+	if a.response.Status >= http.StatusMultipleChoices {
+		c.outcome = Failed
+	} else {
+		c.recordAnswered(a)
+	}
+	return true, nil
 }
 
-// relayStream relays complete events as they arrive.
-func (c *call) relayStream(ctx context.Context, pick choice, response *Response) (bool, *refusal.Refusal) {
+// passOn sends a part of the body of an attempt to the caller, after the head if none was sent before, and ends the other attempt.
+// It reports whether the caller still receives.
+func (c *call) passOn(a *attempt, piece []byte, length int64) bool {
+	c.prefer(a)
+	if c.responseStarted && !a.begun {
+		c.recordResume(a.pick)
+	}
+	a.begun = true
+	c.recordWrite(c.d.Clock.Now())
 	if !c.responseStarted {
 		c.responseStarted = true
-		c.status = response.Status
-		if c.caller.WriteHeader(response.Status, response.Header, -1) != nil {
+		c.status = a.response.Status
+		if c.caller.WriteHeader(a.response.Status, a.response.Header, length) != nil {
 			c.outcome = Left
-			return false, nil
-		}
-	} else {
-		c.recordResume(pick)
-	}
-	c.events.pending = nil
-	c.pendingSince = time.Time{}
-	chunks := make(chan chunk, chunkQueue)
-	stop := make(chan struct{})
-	defer close(stop)
-	go readChunks(response.Body, chunks, stop)
-	for {
-		next, ok := c.nextChunk(ctx, pick, chunks)
-		if !ok {
-			response.Close()
-			return c.handleTruncation(ctx, pick, errStalled)
-		}
-		if len(next.data) > 0 {
-			if disconnected, err := c.forwardEvents(next.data); disconnected {
-				return false, nil
-			} else if err != nil {
-				return c.handleTruncation(ctx, pick, err)
-			}
-			if c.eventStalled() && next.err == nil {
-				return c.handleTruncation(ctx, pick, errStalled)
-			}
-		}
-		if errors.Is(next.err, io.EOF) && len(c.events.pending) == 0 {
-			c.d.Tracker.recordResult(pick.runner, true, c.d.Clock.Now())
-			c.outcome = Answered
-			return false, nil
-		}
-		if next.err != nil {
-			response.Close()
-			return c.handleTruncation(ctx, pick, next.err)
+			return false
 		}
 	}
-}
-
-// forwardEvents passes on the events that data completes; disconnected is set if the caller accepts no more.
-func (c *call) forwardEvents(data []byte) (disconnected bool, err error) {
-	events, err := c.events.feed(data)
-	if err != nil || len(events) == 0 {
-		return false, err
+	if len(piece) == 0 {
+		return true
 	}
-	c.pendingSince = time.Time{}
-	c.recordWrite(c.d.Clock.Now())
-	if c.write(events) != nil {
+	if a.events.lastID != "" {
+		c.lastEventID = a.events.lastID
+	}
+	if c.write(piece) != nil {
 		c.outcome = Left
-		return true, nil
+		return false
 	}
-	return false, nil
+	return true
 }
 
-// eventStalled reports whether the bytes of one event have been arriving for too long and another runner can take over.
-func (c *call) eventStalled() bool {
-	now := c.d.Clock.Now()
-	if len(c.events.pending) == 0 {
-		c.pendingSince = time.Time{}
-		return false
-	}
-	if c.pendingSince.IsZero() {
-		c.pendingSince = now
+// write sends a part of the body to the caller and counts its bytes.
+func (c *call) write(piece []byte) error {
+	if err := c.caller.Write(piece); err != nil {
+		return err
 	}
-	return c.route.Idempotent() && now.Sub(c.pendingSince) >= eventStall && c.hasAlternative()
+	c.delivered += len(piece)
+	return nil
 }
 
 // recordWrite notes the time of a write to the caller.
@@ -195,47 +147,3 @@
 	}
 	c.lastWriteAt = now
 }
-
-// nextChunk waits for the next chunk of a stream; it returns false if the runner has stalled and another one can take
-// over.
-func (c *call) nextChunk(ctx context.Context, pick choice, chunks <-chan chunk) (chunk, bool) {
-	since := c.d.Clock.Now()
-	for {
-		timer := c.d.Clock.NewTimer(streamStall)
-		select {
-		case next := <-chunks:
-			timer.Stop()
-			c.d.Tracker.dataReceived(pick.runner, c.d.Clock.Now())
-			return next, true
-		case <-ctx.Done():
-			timer.Stop()
-			return chunk{err: context.Cause(ctx)}, true
-		case <-timer.Chan():
-			if c.route.Idempotent() && c.stalled(pick, since, streamStall) && c.hasAlternative() {
-				return chunk{}, false
-			}
-		}
-	}
-}
-
-// chunk is the result of one read from a response.
-type chunk struct {
-	data []byte
-	err  error
-}
-
-// readChunks reads a response until it ends or stop is closed.
-func readChunks(body io.Reader, chunks chan<- chunk, stop <-chan struct{}) {
-	for {
-		buffer := make([]byte, chunkBytes)
-		n, err := body.Read(buffer)
-		select {
-		case chunks <- chunk{data: buffer[:n], err: err}:
-		case <-stop:
-			return
-		}
-		if err != nil {
-			return
-		}
-	}
-}
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -39,6 +39,14 @@
 	Close func()
 }
 
+// declined reports whether the runner states that it did not execute the request.
+func (r *Response) declined() bool { return r.NotRun || r.Misdirected }
+
+// successful reports whether the response has a success status.
+func (r *Response) successful() bool {
+	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
+}
+
 // ReportedLoad is the load that a runner reports of itself.
 type ReportedLoad struct {
 	Running int
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -133,9 +133,50 @@
 // A request whose runner answers after the deadline's own response is due is told that its time is over.
 func TestSilentStreamEndsWithDeadline(t *testing.T) {
 	h := newHarness(t)
-	h.catalog = catalog.New(8, catalog.Limits{}, []catalog.Route{route("/stream/", catalog.Streaming, true, 1)}, nil)
+	h.catalog = catalog.New(8, catalog.Limits{}, []catalog.Route{route("/stream/", catalog.Streaming, true, 1)},
+		[]catalog.Service{{Name: "models", Engine: &catalog.Engine{}}})
 	h.sender.replies = []reply{h.fallSilent(time.Hour, 0, firstEvent)}
 	h.serveAdvancing(t, t.Context(), h.request("/stream/"), 50*time.Millisecond)
 	require.False(t, h.caller.aborted)
 	require.Equal(t, http.StatusGatewayTimeout, h.caller.refused.Status)
 }
+
+// A stream goes on at another runner only once that one has sent an event, and the silent runner is stopped then.
+func TestSilentStreamIsTakenOver(t *testing.T) {
+	h := newHarness(t)
+	h.sender.replies = []reply{h.fallSilent(time.Hour, 1, firstEvent), func(ctx context.Context, r *dispatch.Request, attempt dispatch.Attempt) (*dispatch.Response, error) {
+		require.Equal(t, "1", attempt.ResumeAfter)
+		h.sender.mu.Lock()
+		defer h.sender.mu.Unlock()
+		require.False(t, h.sender.closed[0])
+		return stream(nil, secondEvent)(ctx, r, attempt)
+	}}
+	h.serveAdvancing(t, t.Context(), h.request("/stream/"), 50*time.Millisecond)
+	require.Equal(t, firstEvent+secondEvent, h.caller.body)
+	require.Equal(t, 2, h.sender.count())
+	require.True(t, h.sender.closed[0])
+}
+
+// A runner that goes on after a silence keeps its stream, and the attempt beside it is stopped.
+func TestTakeoverEndsWhenRunnerGoesOn(t *testing.T) {
+	h := newHarness(t)
+	stopped := make(chan struct{})
+	h.sender.replies = []reply{h.fallSilent(1700*time.Millisecond, 1, firstEvent, secondEvent),
+		func(ctx context.Context, r *dispatch.Request, attempt dispatch.Attempt) (*dispatch.Response, error) {
+			defer close(stopped)
+			return hang(ctx, r, attempt)
+		}}
+	h.serveAdvancing(t, t.Context(), h.request("/stream/"), 50*time.Millisecond)
+	require.Equal(t, firstEvent+secondEvent, h.caller.body)
+	require.Equal(t, 2, h.sender.count())
+	<-stopped
+}
+
+// A silence of a second, as sound runners have, starts no attempt beside a stream.
+func TestShortSilenceStartsNoTakeover(t *testing.T) {
+	h := newHarness(t)
+	h.sender.replies = []reply{h.fallSilent(time.Second, 1, firstEvent, secondEvent)}
+	h.serveAdvancing(t, t.Context(), h.request("/stream/"), 50*time.Millisecond)
+	require.Equal(t, firstEvent+secondEvent, h.caller.body)
+	require.Equal(t, 1, h.sender.count())
+}
--- /dev/null
+++ b/internal/dispatch/update.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/outbound"
+	"github.com/cowsliparch/cowsliparch/internal/refusal"
+)
+
+// modelAbsentTTL is how long a runner's statement that it lacks a model is relied on.
+const modelAbsentTTL = time.Second
+
+// handleUpdate handles an update of an attempt. It reports whether the request has ended; the refusal, if any, is for the caller.
+func (c *call) handleUpdate(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
+	if ctx.Err() != nil {
+		return false, nil
+	}
+	a.lastUpdate = c.d.Clock.Now()
+	switch {
+	case a.response != nil:
+		c.d.Tracker.dataReceived(a.pick.runner, a.lastUpdate)
+		return c.handleBody(ctx, a, u)
+	case u.err != nil:
+		return c.handleSendError(a, u.err)
+	default:
+		return c.handleHead(a, u.response)
+	}
+}
+
+// handleHead handles the status and header of a response.
+func (c *call) handleHead(a *attempt, response *Response) (bool, *refusal.Refusal) {
+	a.response = response
+	c.d.Tracker.dataReceived(a.pick.runner, a.lastUpdate)
+	if response.Load != nil {
+		c.d.Tracker.loadReported(a.pick.runner, *response.Load, a.lastUpdate)
+	}
+	if response.declined() {
+		return c.handleDecline(a)
+	}
+	c.mayHaveRun = true
+	if !response.successful() {
+		return c.handleErrorStatus(a)
+	}
+	return false, nil
+}
+
+// handleSendError handles an attempt without a response.
+func (c *call) handleSendError(a *attempt, err error) (bool, *refusal.Refusal) {
+	c.recordSendFailure(a.pick, err)
+	var atLimit *outbound.ConnectionLimitError
+	if errors.As(err, &atLimit) {
+		c.attempts--
+		c.end(a)
+		return false, nil
+	}
+	c.d.Tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+	var notSent *endpoint.NotSentError
+	if errors.As(err, &notSent) {
+		c.attempts--
+		c.end(a)
+		return false, nil
+	}
+	c.mayHaveRun = true
+	return c.retryOrFail(a, "the runner did not answer")
+}
+
+// handleBreak handles a response that ended early, or that can't be passed on.
+func (c *call) handleBreak(a *attempt, err error) (bool, *refusal.Refusal) {
+	c.recordSendFailure(a.pick, &endpoint.TruncatedError{Cause: err})
+	c.d.Tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+	return c.retryOrFail(a, "the answer broke off")
+}
+
+// retryOrFail ends an attempt whose request may have run. The request goes on with the other attempt, if there is one, or with a
+// further one if the route and the budget allow it, and otherwise fails with message.
+func (c *call) retryOrFail(a *attempt, message string) (bool, *refusal.Refusal) {
+	c.end(a)
+	if c.inProgress() || (c.route.Idempotent() && c.takeRetry()) {
+		return false, nil
+	}
+	return true, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, message).WithRan(refusal.Unknown)
+}
+
+// inProgress reports whether any attempt is in progress.
+func (c *call) inProgress() bool { return c.current != nil || c.standby != nil }
+
+// handleDecline handles a response by which the runner states that it did not execute the request.
+func (c *call) handleDecline(a *attempt) (bool, *refusal.Refusal) {
+	a.drain(c.d.Clock)
+	c.recordSendFailure(a.pick, &StatusError{Status: a.response.Status})
+	if a.response.Misdirected && c.request.Model != "" {
+		c.d.Tracker.Observe(a.pick.runner.ID, c.request.Model, c.request.Adapter, false, a.lastUpdate, modelAbsentTTL)
+	} else {
+		c.d.Tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+	}
+	c.end(a)
+	if c.inProgress() || c.takeRetry() {
+		return false, nil
+	}
+	if c.mayHaveRun {
+		return true, refusal.New(http.StatusBadGateway, refusal.EndpointDeclined, "the runners declined the request").WithRan(refusal.Unknown)
+	}
+	return true, refusal.New(http.StatusServiceUnavailable, refusal.EndpointDeclined, "the runner declined the request").
+		WithRetryAfter(c.retryAfter(a.pick.score))
+}
+
+// StatusError reports an HTTP status by which a runner declined or failed a request.
+type StatusError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return "runner responded with " + http.StatusText(e.Status) }
+
+// handleErrorStatus handles a response with an error status that does not state that the request was not executed. The caller gets
+// it unless another attempt may still succeed, or a part of a stream was already passed on.
+func (c *call) handleErrorStatus(a *attempt) (bool, *refusal.Refusal) {
+	serverError := a.response.Status >= http.StatusInternalServerError
+	c.d.Tracker.recordServerError(a.pick.runner, serverError, a.lastUpdate)
+	if !c.responseStarted && a == c.current && !c.canSucceed(serverError) {
+		return false, nil
+	}
+	c.recordSendFailure(a.pick, &StatusError{Status: a.response.Status})
+	a.drain(c.d.Clock)
+	c.end(a)
+	if c.inProgress() || (serverError && c.route.Idempotent() && c.takeRetry()) {
+		return false, nil
+	}
+	return true, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "the stream could not be resumed").WithRan(refusal.Unknown)
+}
+
+// canSucceed reports whether a request whose current runner responded with an error may still be answered by another one.
+func (c *call) canSucceed(serverError bool) bool {
+	return serverError && (c.standby != nil || (c.route.Idempotent() && c.hasAlternative()))
+}
+
+// recordAnswered records how long a runner took for a response that was received to its end.
+func (c *call) recordAnswered(a *attempt) {
+	now := c.d.Clock.Now()
+	c.outcome = Answered
+	c.d.Tracker.recordResult(a.pick.runner, true, now)
+	c.d.Tracker.recordServiceTime(c.service.Name, c.serviceTime(a.sent))
+	if c.request.Model != "" {
+		c.d.Demand.RecordDuration(c.service.Name, c.request.Model, now.Sub(a.sent), c.late())
+	}
+}
+
+// serviceTime estimates how long the runner worked on the request: since its first data, and a short time before.
+func (c *call) serviceTime(sent time.Time) time.Duration {
+	now := c.d.Clock.Now()
+	return now.Sub(c.firstByteAt) + min(max(c.firstByteAt.Sub(sent), 0), maxFirstTokenWork)
+}
+
+// late reports whether the response started after the objective or paused for longer than the route allows.
+func (c *call) late() bool {
+	return c.firstByteAt.Sub(c.request.Arrived) > c.route.Objective || (c.route.MaxEventGap > 0 && c.longestGap > c.route.MaxEventGap)
+}
+
+// streams reports whether a response is passed on event by event.
+func (c *call) streams(response *Response) bool {
+	return c.route.Kind == catalog.Streaming && response.successful()
+}
