plaincall: send the head of a response with the first part of its body

Callers of the product's own interface saw a closed connection when an endpoint broke off its response before the first byte of the body, although nothing had been sent to them.

Cause: the same as in dispatch, a response that counts as begun once its head is handed to the writer. A response that breaks off after a part was sent still closes the connection.

--- a/internal/plaincall/send.go
+++ b/internal/plaincall/send.go
@@ -92,26 +92,30 @@
 	return picked
 }
 
-// relay copies a response to the caller. If the response body breaks off, it aborts the caller's connection, so that the
-// caller does not take the response for a complete one.
+// relay copies a response to the caller, its head with the first part of its body. A response that breaks off before that is
+// refused. If it breaks off later, relay aborts the caller's connection, so that the caller does not take the response for a
+// complete one.
 func (h *Handler) relay(w http.ResponseWriter, response *http.Response) *refusal.Refusal {
 	defer response.Body.Close()
-	removeHopByHopHeaders(response.Header)
-	for name, values := range response.Header {
-		w.Header()[name] = values
-	}
-	w.WriteHeader(response.StatusCode)
 	controller := http.NewResponseController(w)
 	buffer := make([]byte, relayBufferBytes)
-	for {
+	for started := false; ; {
 		n, err := response.Body.Read(buffer)
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended && n == 0 && !started {
+			return refusal.New(http.StatusBadGateway, refusal.OutcomeUnknown, "the answer broke off").WithRan(refusal.Unknown)
+		}
+		if !started && (n > 0 || ended) {
+			started = true
+			writeHead(w, response)
+		}
 		if n > 0 {
 			_ = controller.SetWriteDeadline(h.Clock.Now().Add(h.WriteTimeout))
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				panic(http.ErrAbortHandler)
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if ended {
 			return nil
 		}
 		if err != nil {
@@ -120,6 +124,14 @@
 	}
 }
 
+func writeHead(w http.ResponseWriter, response *http.Response) {
+	removeHopByHopHeaders(response.Header)
+	for name, values := range response.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(response.StatusCode)
+}
+
 const relayBufferBytes = 16 << 10
 
 func noEndpointRefusal(c *call) *refusal.Refusal {
