dispatch: go on with a stream only at a response that continues it

Operators of a similar system report that clients found an error's text, at times its whole head, in the middle of a stream that broke off, or a stream that ended as if it were complete. Here, error statuses never reached the stream, but the next runner's response was passed on whenever its status was a success: JSON or text with blank lines, events that the caller already had, or nothing at all, which looked like the stream's end.

A continuation must now have the status and content type of the first response, begin with an event after the last one that the caller has, and must not be empty. Otherwise it counts as broken off: the stream goes on at a further runner or the connection is closed, so that the caller can tell that the stream is not complete.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -56,8 +56,9 @@
 	delivered int
 	// lastEventID is the ID of the last event that the caller has.
 	lastEventID string
-	// status is the HTTP status that the caller received; a resumed stream keeps that of its first response.
+	// status and contentType are those that the caller received; a resumed stream keeps those of its first response.
 	status      int
+	contentType string
 	outcome     Outcome
 	reason      string
 	runner      string
--- a/internal/dispatch/eventsplitter.go
+++ b/internal/dispatch/eventsplitter.go
@@ -56,6 +56,16 @@
 	return string(bytes.TrimSpace(line)), true
 }
 
+// firstEventID returns the first ID in a sequence of complete events.
+func firstEventID(complete []byte) (string, bool) {
+	for line := range bytes.Lines(complete) {
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id)), true
+		}
+	}
+	return "", false
+}
+
 // EventTooLargeError reports a stream event above the size limit.
 type EventTooLargeError struct {
 	Bytes int
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
@@ -45,6 +47,17 @@
 	if err != nil {
 		return c.handleBreak(a, err)
 	}
+	if c.responseStarted && !a.begun && len(bytes.TrimSpace(events)) == 0 {
+		// Blank lines are no event that shows where the stream goes on.
+		events = nil
+	}
+	if id, ok := firstEventID(events); ok && !a.begun && !follows(c.lastEventID, id) {
+		return c.handleBreak(a, &ResumeError{
+			Status:      a.response.Status,
+			ContentType: c.contentType,
+			EventID:     id,
+		})
+	}
 	if len(events) > 0 && !c.passOn(a, events, -1) {
 		return true, nil
 	}
@@ -57,6 +70,9 @@
 	case !a.complete(u.err):
 		a.response.Close()
 		return c.handleBreak(a, u.err)
+	case !a.begun && c.responseStarted:
+		// Nothing shows that the stream was complete before.
+		return c.handleBreak(a, io.ErrUnexpectedEOF)
 	case !a.begun && !c.passOn(a, nil, -1):
 		return true, nil
 	default:
@@ -65,6 +81,16 @@
 	}
 }
 
+// follows reports whether an event ID may come after another one; IDs that aren't numbers can't be compared.
+func follows(last, id string) bool {
+	before, err := strconv.ParseInt(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	after, err := strconv.ParseInt(id, 10, 64)
+	return err != nil || after > before
+}
+
 // relayWhole collects a response until its end, so that no caller gets a truncated one. One that is too large to collect is passed
 // on as it arrives, and broken off if it has no stated length and does not end.
 func (c *call) relayWhole(a *attempt, u update) (bool, *refusal.Refusal) {
@@ -110,7 +136,7 @@
 	c.recordWrite(c.d.Clock.Now())
 	if !c.responseStarted {
 		c.responseStarted = true
-		c.status = a.response.Status
+		c.status, c.contentType = a.response.Status, a.response.Header.Get("Content-Type")
 		if c.caller.WriteHeader(a.response.Status, a.response.Header, length) != nil {
 			c.outcome = Left
 			return false
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -46,9 +46,31 @@
 	if !response.successful() {
 		return c.handleErrorStatus(a)
 	}
+	if c.responseStarted && !c.continues(response) {
+		return c.handleBreak(a, &ResumeError{
+			Status:      response.Status,
+			ContentType: response.Header.Get("Content-Type"),
+		})
+	}
 	return false, nil
 }
 
+// ResumeError reports a response that does not continue the stream that the caller has begun to receive.
+type ResumeError struct {
+	Status      int
+	ContentType string
+	// EventID is the ID of its first event if that does not follow the last one that the caller has.
+	EventID string
+}
+
+// Error implements error.
+func (e *ResumeError) Error() string { return "the response does not continue the stream" }
+
+// continues reports whether a response can go on with the stream that the caller has begun to receive.
+func (c *call) continues(response *Response) bool {
+	return response.Status == c.status && response.Header.Get("Content-Type") == c.contentType
+}
+
 // handleSendError handles an attempt without a response.
 func (c *call) handleSendError(a *attempt, err error) (bool, *refusal.Refusal) {
 	c.recordSendFailure(a.pick, err)
