dispatch: send a runner that is leaving no further request

Callers and operators saw: a runner that answers with Server-Leaving kept getting requests until its registration said draining or was gone, and for as long as the store was down; some runners never say draining. Callers whose requests came late were cut off when it stopped. Cause: nothing read the header. Fix: the head of every answer, also of those to orders and report requests, is decoded, and the tracker keeps the statement for the incarnation that made it. Choice excludes such a runner as it does one that is registered as draining, also from the last resort, and counts it among those that have the model. A greater incarnation is free of it. The lease holder plans no step for the runner, as if it were registered as draining. orders.Client.Order returns an Answer for this; tests that compared its Result compare Answer.Result.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -58,6 +58,7 @@
 	defer response.Close()
 	c.attempts++
 	c.d.Tracker.dataReceived(pick.runner, c.d.Clock.Now())
+	c.d.Tracker.responseReceived(pick.runner, response, c.d.Clock.Now())
 	if response.Load != nil {
 		c.d.Tracker.loadReported(pick.runner, *response.Load, c.d.Clock.Now())
 	}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -99,7 +99,10 @@
 		return
 	}
 	best.withModel++
-	if runner.Draining || slices.Contains(needs.tried, runner.ID) || (!includeBackoff && state != nil && state.backingOff(now)) {
+	if runner.Draining || state.isLeaving(runner) {
+		return
+	}
+	if slices.Contains(needs.tried, runner.ID) || (!includeBackoff && state != nil && state.backingOff(now)) {
 		return
 	}
 	best.ready++
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -32,6 +32,8 @@
 	NotRun bool
 	// Misdirected is set if the request was meant for another runner, or if the runner lacks the model.
 	Misdirected bool
+	// Leaving is set if the runner states that it is about to stop.
+	Leaving bool
 	// Load is nil if the runner did not report its load.
 	Load *ReportedLoad
 	Body io.Reader
--- a/internal/dispatch/runnerstate.go
+++ b/internal/dispatch/runnerstate.go
@@ -41,6 +41,7 @@
 	backoff             time.Duration
 	backoffUntil        time.Time
 	observations        []observation
+	notice              notice
 }
 
 // observation is what was learned about a runner's models before its registration shows it.
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -74,7 +74,7 @@
 }
 
 // Prune drops expired observations, and the state of runners that are no longer registered and have no request of
-// this VM in flight.
+// this VM in flight, except for notices that still bind them.
 func (t *Tracker) Prune(view *roster.View, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -82,7 +82,7 @@
 		if !state.hasObservations(now) {
 			delete(t.observed, id)
 		}
-		if _, known := view.Runner(id); !known && state.ownRequests == 0 {
+		if _, known := view.Runner(id); !known && state.ownRequests == 0 && !state.notice.needed(now) {
 			delete(t.runners, id)
 			delete(t.observed, id)
 		}
--- a/internal/orders/conflict_test.go
+++ b/internal/orders/conflict_test.go
@@ -22,23 +22,23 @@
 	exceeded bool
 }
 
-func (r *contestedRunner) Order(_ context.Context, _ *roster.Runner, o Order) (Result, error) {
+func (r *contestedRunner) Order(_ context.Context, _ *roster.Runner, o Order) (Answer, error) {
 	if !r.taken {
 		r.taken = true
 		r.adapters = append(r.adapters, "a1", "a5", "a6")
 		r.count += 3
 	}
 	if o.ExpectedOrders != r.count {
-		return Conflict, nil
+		return Answer{Result: Conflict}, nil
 	}
 	r.count++
 	if o.Unload {
 		r.adapters = slices.DeleteFunc(r.adapters, func(name string) bool { return name == o.Adapter })
-		return AlreadyInState, nil
+		return Answer{Result: AlreadyInState}, nil
 	}
 	r.adapters = append(r.adapters, o.Adapter)
 	r.exceeded = r.exceeded || len(r.adapters) > r.slots
-	return Accepted, nil
+	return Answer{Result: Accepted}, nil
 }
 
 func (r *contestedRunner) Report(context.Context, *roster.Runner) (Report, error) {
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -51,6 +51,7 @@
 	// RosterComplete reports whether the roster is complete; until then no model counts as missing.
 	RosterComplete func() bool
 	Client         Client
+	Departures     Departures
 	// VMs returns the number of entry VMs.
 	VMs func() int
 	// InUse returns the models and adapters that requests run on now.
@@ -203,6 +204,7 @@
 		state.updateRegistration(r)
 		runner := state.layoutRunner(now, inUse[r.ID])
 		runner.Busy = runner.Busy || now.Before(state.backoffUntil)
+		runner.Draining = runner.Draining || c.Departures.Leaving(r)
 		runners = append(runners, runner)
 		byID[r.ID] = runner
 	}
--- a/internal/orders/controller_test.go
+++ b/internal/orders/controller_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 	"github.com/cowsliparch/cowsliparch/internal/layout"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
@@ -88,7 +89,7 @@
 	loadTimes    []time.Time
 }
 
-func (c *fakeClient) Order(_ context.Context, to *roster.Runner, o orders.Order) (orders.Result, error) {
+func (c *fakeClient) Order(_ context.Context, to *roster.Runner, o orders.Order) (orders.Answer, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sendCount++
@@ -98,13 +99,13 @@
 		lost, executed = c.loseResponse(c.sendCount)
 	}
 	if lost && !executed {
-		return "", &endpoint.NoResponseError{Cause: io.ErrUnexpectedEOF}
+		return orders.Answer{}, &endpoint.NoResponseError{Cause: io.ErrUnexpectedEOF}
 	}
 	result := c.apply(c.byID[to.ID], o)
 	if lost {
-		return "", &endpoint.NoResponseError{Cause: io.ErrUnexpectedEOF}
+		return orders.Answer{}, &endpoint.NoResponseError{Cause: io.ErrUnexpectedEOF}
 	}
-	return result, nil
+	return orders.Answer{Result: result}, nil
 }
 
 func (c *fakeClient) apply(r *fakeRunner, o orders.Order) orders.Result {
@@ -199,6 +200,7 @@
 	clock          *clockwork.FakeClock
 	lease          *fakeLease
 	client         *fakeClient
+	departures     orders.Departures
 	roster         *roster.Roster
 	controller     *orders.Controller
 	catalog        *catalog.Catalog
@@ -215,6 +217,7 @@
 		clock:          clock,
 		lease:          &fakeLease{fence: 5},
 		client:         &fakeClient{clock: clock, byID: make(map[string]*fakeRunner)},
+		departures:     dispatch.NewTracker(dispatch.RoundTrips{}),
 		roster:         roster.New(),
 		rosterComplete: true,
 	}
@@ -239,6 +242,7 @@
 		Roster:         f.roster.View,
 		RosterComplete: f.isRosterComplete,
 		Client:         f.client,
+		Departures:     f.departures,
 		VMs:            func() int { return 1 },
 		InUse:          f.currentUses,
 		Announce:       f.announce,
--- a/internal/orders/execution.go
+++ b/internal/orders/execution.go
@@ -125,6 +125,9 @@
 		e.abandon()
 		return Report{}, &RestartedError{Runner: e.runner.ID}
 	}
+	if report.Leaving {
+		e.recordLeaving()
+	}
 	return report, err
 }
 
--- a/internal/orders/order.go
+++ b/internal/orders/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/layout"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
@@ -37,6 +38,13 @@
 	Invalid Result = "Invalid"
 )
 
+// Answer is a runner's answer to an order.
+type Answer struct {
+	Result Result
+	// Leaving is set if the runner states that it is about to stop.
+	Leaving bool
+}
+
 // Report is a runner's report; its models may be a few hundred milliseconds older than its order count.
 type Report struct {
 	// Incarnation is that of the reporting runner, or 0 if it does not tell.
@@ -49,10 +57,19 @@
 	// AdaptersLoading lists the adapters being loaded, which already occupy their slots but are not yet listed with their
 	// models.
 	AdaptersLoading []layout.Adapter
+	// Leaving is set if the runner states that it is about to stop.
+	Leaving bool
 }
 
 // Client sends orders to runners and reads their reports; it returns the same errors as dispatch.Sender.
 type Client interface {
-	Order(ctx context.Context, to *roster.Runner, o Order) (Result, error)
+	Order(ctx context.Context, to *roster.Runner, o Order) (Answer, error)
+	// Report returns a report that has only Leaving set if the response is not a valid report.
 	Report(ctx context.Context, to *roster.Runner) (Report, error)
 }
+
+// Departures keeps which runners have stated that they are about to stop.
+type Departures interface {
+	RecordLeaving(runner *roster.Runner, now time.Time)
+	Leaving(runner *roster.Runner) bool
+}
--- a/internal/orders/restart_test.go
+++ b/internal/orders/restart_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/layout"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -23,9 +24,9 @@
 // accepts every order.
 type restartedRunner struct{ orders []Order }
 
-func (r *restartedRunner) Order(_ context.Context, _ *roster.Runner, o Order) (Result, error) {
+func (r *restartedRunner) Order(_ context.Context, _ *roster.Runner, o Order) (Answer, error) {
 	r.orders = append(r.orders, o)
-	return Accepted, nil
+	return Answer{Result: Accepted}, nil
 }
 
 func (r *restartedRunner) Report(context.Context, *roster.Runner) (Report, error) {
@@ -39,14 +40,15 @@
 	clock := clockwork.NewRealClock()
 	known.Apply([]roster.Change{{ID: "r0", Runner: registration}}, clock.Now())
 	return New(Dependencies{
-		Lease:    heldLease{},
-		Roster:   known.View,
-		Client:   client,
-		Announce: func([]Holding) {},
-		InUse:    func() map[roster.ModelUse]bool { return nil },
-		Metrics:  NewMetrics(prometheus.NewRegistry()),
-		Clock:    clock,
-		Logger:   slog.New(slog.DiscardHandler),
+		Lease:      heldLease{},
+		Roster:     known.View,
+		Client:     client,
+		Departures: dispatch.NewTracker(dispatch.RoundTrips{}),
+		Announce:   func([]Holding) {},
+		InUse:      func() map[roster.ModelUse]bool { return nil },
+		Metrics:    NewMetrics(prometheus.NewRegistry()),
+		Clock:      clock,
+		Logger:     slog.New(slog.DiscardHandler),
 	}), registration
 }
 
--- a/internal/orders/send.go
+++ b/internal/orders/send.go
@@ -21,8 +21,9 @@
 		}
 		o.ExpectedOrders, o.Fence, o.Holder = e.orderCount, fence, e.controller.Holder
 		sendCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		result, err := e.controller.Client.Order(sendCtx, e.runner, o)
+		answer, err := e.controller.Client.Order(sendCtx, e.runner, o)
 		cancel()
+		result := answer.Result
 		e.controller.Metrics.countOrder(result, err)
 		if err != nil {
 			e.logLost(o, err)
@@ -33,6 +34,9 @@
 			pause.For(ctx, e.controller.Clock, retryDelay)
 			continue
 		}
+		if answer.Leaving {
+			e.recordLeaving()
+		}
 		switch result {
 		case Accepted, AlreadyInState:
 			return e.handleAccepted(o, result)
@@ -53,6 +57,11 @@
 	return false
 }
 
+// recordLeaving records that the runner has stated that it is about to stop.
+func (e *stepExecution) recordLeaving() {
+	e.controller.Departures.RecordLeaving(e.runner, e.controller.Clock.Now())
+}
+
 // registered reports whether this incarnation of the runner is still in the roster.
 func (e *stepExecution) registered() bool {
 	r, ok := e.controller.Roster().Runner(e.runner.ID)
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -142,6 +142,7 @@
 		Roster:         s.roster.View,
 		RosterComplete: s.watcher.RunnersComplete,
 		Client:         s.Orders,
+		Departures:     s.tracker,
 		VMs:            s.vmCount,
 		InUse:          s.aggregator.ModelsInUse,
 		Announce:       s.publishHoldings,
