dispatch: send a runner that turned a request away with Retry-After nothing until then

Callers and operators saw: a full runner that answered 503 with Retry-After kept getting requests; each cost a round trip and, on routes that are retried, a part of the retry budget. Callers refused because of it were asked to come back in about 0.3 s. Cause: nothing read the header. Fix: the tracker keeps the end of the pause for the incarnation that asked for it, whether or not the runner has executed the request, and choice leaves the runner out until then, also as the last resort. A later answer may extend a pause but not shorten one that was promised. If all runners that could take a request are paused, the caller is refused at once, to come back when the first pause ends.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -223,7 +223,7 @@
 	if needs.model != "" && c.pick.withModel == 0 && needs.adapter == "" {
 		return refused.WithRetryAfter(c.retryAfter(c.loadTime(needs.model) + missingModelDelay))
 	}
-	return refused.WithRetryAfter(c.retryAfter(0))
+	return refused.WithRetryAfter(c.retryAfter(c.pick.pause))
 }
 
 // takeRetry reports whether another attempt is allowed and, if so, takes it from the retry budget.
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -25,6 +25,10 @@
 	// many of these could take the request.
 	withModel int
 	ready     int
+	// staying is how many of withModel are not about to stop; pause is the time until the first of these takes requests, 0 if one
+	// does so now.
+	staying int
+	pause   time.Duration
 	// admit is the share of requests for the model that its runners can serve within the limit.
 	admit float64
 }
@@ -102,7 +106,11 @@
 	if runner.Draining || state.isLeaving(runner) {
 		return
 	}
-	if slices.Contains(needs.tried, runner.ID) || (!includeBackoff && state != nil && state.backingOff(now)) {
+	pause := state.pauseLeft(runner, now)
+	if best.staying++; best.staying == 1 || pause < best.pause {
+		best.pause = pause
+	}
+	if pause > 0 || slices.Contains(needs.tried, runner.ID) || (!includeBackoff && state != nil && state.backingOff(now)) {
 		return
 	}
 	best.ready++
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/roster"
@@ -16,13 +17,24 @@
 	// leaving is set once the runner has stated that it is about to stop; leavingAt is when it last did.
 	leaving   bool
 	leavingAt time.Time
+	// pausedUntil is the end of the time for which the runner has asked for no further request.
+	pausedUntil time.Time
 }
 
 // binds reports whether the notice concerns a registration; a later incarnation knows nothing of it.
 func (n *notice) binds(runner *roster.Runner) bool { return runner.Incarnation <= n.incarnation }
 
 // needed reports whether the notice must be kept although its runner isn't registered.
-func (n *notice) needed(now time.Time) bool { return n.leaving && now.Sub(n.leavingAt) < leavingTTL }
+func (n *notice) needed(now time.Time) bool {
+	return (n.leaving && now.Sub(n.leavingAt) < leavingTTL) || now.Before(n.pausedUntil)
+}
+
+// pause records that the runner wants no request until a time. It does not shorten a pause that the runner has asked for before.
+func (n *notice) pause(until time.Time) {
+	if until.After(n.pausedUntil) {
+		n.pausedUntil = until
+	}
+}
 
 // noticeFrom returns the notice of a runner's incarnation, or nil if a later incarnation has given one.
 func (s *runnerState) noticeFrom(runner *roster.Runner) *notice {
@@ -40,11 +52,31 @@
 	return s != nil && s.notice.leaving && s.notice.binds(runner)
 }
 
+// pauseLeft returns how long the runner wants no request.
+func (s *runnerState) pauseLeft(runner *roster.Runner, now time.Time) time.Duration {
+	if s == nil || !s.notice.binds(runner) {
+		return 0
+	}
+	return max(s.notice.pausedUntil.Sub(now), 0)
+}
+
 // responseReceived records what the head of a response says about further requests.
 func (t *Tracker) responseReceived(runner *roster.Runner, response *Response, now time.Time) {
 	if response.Leaving {
 		t.RecordLeaving(runner, now)
 	}
+	if response.Status == http.StatusServiceUnavailable && response.RetryAfter > 0 {
+		t.recordPause(runner, now.Add(response.RetryAfter))
+	}
+}
+
+// recordPause records that a runner wants no request until a time.
+func (t *Tracker) recordPause(runner *roster.Runner, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := t.state(runner.ID).noticeFrom(runner); n != nil {
+		n.pause(until)
+	}
 }
 
 // RecordLeaving records that a runner has stated that it is about to stop.
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -34,6 +34,8 @@
 	Misdirected bool
 	// Leaving is set if the runner states that it is about to stop.
 	Leaving bool
+	// RetryAfter is the time for which the runner asks for no further request, or 0 if it does not.
+	RetryAfter time.Duration
 	// Load is nil if the runner did not report its load.
 	Load *ReportedLoad
 	Body io.Reader
