--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -25,6 +25,10 @@
 	// many of these could take the request.
 	withModel int
 	ready     int
+	// staying is how many of withModel are not about to stop; pause is the time until the first of these takes requests, 0 if one
+	// does so now.
+	staying int
+	pause   time.Duration
 	// admit is the share of requests for the model that its runners can serve within the limit.
 	admit float64
 }
@@ -99,7 +103,14 @@
 		return
 	}
 	best.withModel++
-	if runner.Draining || slices.Contains(needs.tried, runner.ID) || (!includeBackoff && state != nil && state.backingOff(now)) {
+	if runner.Draining || state.isLeaving(runner) {
+		return
+	}
+	pause := state.pauseLeft(runner, now)
+	if best.staying++; best.staying == 1 || pause < best.pause {
+		best.pause = pause
+	}
+	if pause > 0 || slices.Contains(needs.tried, runner.ID) || (!includeBackoff && state != nil && state.backingOff(now)) {
 		return
 	}
 	best.ready++
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -36,6 +36,7 @@
 func (c *call) handleHead(a *attempt, response *Response) (bool, *refusal.Refusal) {
 	a.response = response
 	c.d.Tracker.dataReceived(a.pick.runner, a.lastUpdate)
+	c.d.Tracker.responseReceived(a.pick.runner, response, a.lastUpdate)
 	if response.Load != nil {
 		c.d.Tracker.loadReported(a.pick.runner, *response.Load, a.lastUpdate)
 	}
