quarantine: decide which prompt sections crash runners

What callers saw: a section of a prompt that crashes each runner that begins an answer on it ended 34 to 40 runners in 22 s with nine runners, and 245 with ninety; the requests pending there were lost with it. Cause: nothing reads the sections of a prompt after the ingress has decoded them, so each such request crashes up to two runners. Change: package quarantine, without I/O. The list keeps the verdicts and their terms. dispatch.SectionGuard is the interface through which requests are checked; nothing calls it yet.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,9 +41,11 @@
 	RetryBudget *RetryBudget
 	Sender      Sender
 	Demand      DemandRecorder
-	Metrics     *Metrics
-	Clock       clockwork.Clock
-	Logger      *slog.Logger
+	// Guard may be nil; then every prompt may be sent.
+	Guard   SectionGuard
+	Metrics *Metrics
+	Clock   clockwork.Clock
+	Logger  *slog.Logger
 }
 
 // Dispatcher serves requests by sending them to runners; it is safe for concurrent use.
@@ -53,6 +55,9 @@
 
 // New returns a dispatcher with the given dependencies.
 func New(d Dependencies) *Dispatcher {
+	if d.Guard == nil {
+		d.Guard = noGuard{}
+	}
 	return &Dispatcher{
 		Dependencies: d,
 	}
--- /dev/null
+++ b/internal/dispatch/guard.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+// SectionGuard keeps prompts that crash runners from the runners. Its methods get all sections of a prompt; the last one, which
+// is the request's own, does not count. They don't block and are safe for concurrent use.
+type SectionGuard interface {
+	// Quarantined returns a section of the prompt that is in quarantine, if there is one. It is to be called before each attempt.
+	Quarantined(sections []PromptSection) (id string, ok bool)
+	// Suspected reports whether a section of the prompt may crash runners, so that a request that may have run is not to be sent
+	// to a second one.
+	Suspected(sections []PromptSection) bool
+	// RecordStrike records that the connection to a runner broke off before any data of a successful response had come.
+	RecordStrike(runner *roster.Runner, sections []PromptSection, sentAt, at time.Time)
+	// RecordSound records that the first data of a successful response has come.
+	RecordSound(sections []PromptSection, sentAt, now time.Time)
+}
+
+// noGuard is a SectionGuard that lets every prompt pass.
+type noGuard struct{}
+
+// Quarantined implements SectionGuard.
+func (noGuard) Quarantined([]PromptSection) (id string, ok bool) { return "", false }
+
+// Suspected implements SectionGuard.
+func (noGuard) Suspected([]PromptSection) bool { return false }
+
+// RecordStrike implements SectionGuard.
+func (noGuard) RecordStrike(*roster.Runner, []PromptSection, time.Time, time.Time) {}
+
+// RecordSound implements SectionGuard.
+func (noGuard) RecordSound([]PromptSection, time.Time, time.Time) {}
--- /dev/null
+++ b/internal/quarantine/list.go
@@ -0,0 +1,160 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// baseTerm is how long a first quarantine lasts after the last request with the section; each further conviction doubles it,
+	// up to maxTerm.
+	baseTerm = 10 * time.Minute
+	maxTerm  = time.Hour
+	// recordTTL is how long a section's record is kept after it has expired or was released.
+	recordTTL = 24 * time.Hour
+	// maxEntries bounds the number of records.
+	maxEntries = 256
+)
+
+// Entry is the record of one section's quarantine.
+type Entry struct {
+	Section string
+	// Convictions counts the convictions that were not refuted.
+	Convictions int
+	// ConvictedAt is when the newest conviction was made, ReleasedAt when one was last refuted.
+	ConvictedAt time.Time
+	ReleasedAt  time.Time
+	// RequestedAt is when a request with the section last arrived.
+	RequestedAt time.Time
+}
+
+// Expiry returns when the quarantine ends unless a further request arrives.
+func (e Entry) Expiry() time.Time {
+	term := baseTerm
+	for n := 1; n < e.Convictions && term < maxTerm; n++ {
+		term *= 2
+	}
+	return e.RequestedAt.Add(min(term, maxTerm))
+}
+
+// Released reports whether the newest conviction was refuted.
+func (e Entry) Released() bool { return e.ReleasedAt.After(e.ConvictedAt) }
+
+// ActiveAt reports whether the section is in quarantine.
+func (e Entry) ActiveAt(now time.Time) bool { return !e.Released() && now.Before(e.Expiry()) }
+
+// changedAt returns when the entry last changed its meaning.
+func (e Entry) changedAt() time.Time {
+	if e.Released() {
+		return e.ReleasedAt
+	}
+	return e.ConvictedAt
+}
+
+// List holds the records of the sections that were convicted. It is not safe for concurrent use.
+type List struct {
+	entries map[string]Entry
+}
+
+// NewList returns an empty list.
+func NewList() *List {
+	return &List{
+		entries: make(map[string]Entry),
+	}
+}
+
+// Convict records a conviction.
+func (l *List) Convict(section string, now time.Time) {
+	e := l.entries[section]
+	if e.Released() {
+		e = Entry{}
+	}
+	e.Section = section
+	e.Convictions++
+	e.ConvictedAt, e.RequestedAt = now, now
+	l.put(e)
+}
+
+// Release records that the conviction of a section was refuted.
+func (l *List) Release(section string, now time.Time) {
+	if e, known := l.entries[section]; known {
+		e.ReleasedAt = now
+		l.put(e)
+	}
+}
+
+// Requested records that a request with the section arrived.
+func (l *List) Requested(section string, now time.Time) {
+	if e, known := l.entries[section]; known && now.After(e.RequestedAt) {
+		e.RequestedAt = now
+		l.put(e)
+	}
+}
+
+// Merge adds the record of another VM and reports whether it put the section in quarantine or released it. Of two records of a
+// section, the one that changed last holds.
+func (l *List) Merge(e Entry, now time.Time) bool {
+	known, ok := l.entries[e.Section]
+	active := ok && known.ActiveAt(now)
+	switch {
+	case !ok:
+		l.put(e)
+	case e.changedAt().After(known.changedAt()) && e.Released() != known.Released():
+		l.put(e)
+	default:
+		known.Convictions = max(known.Convictions, e.Convictions)
+		if e.RequestedAt.After(known.RequestedAt) {
+			known.RequestedAt = e.RequestedAt
+		}
+		l.put(known)
+	}
+	return active != l.entries[e.Section].ActiveAt(now)
+}
+
+// Entry returns the record of a section.
+func (l *List) Entry(section string) (Entry, bool) {
+	e, ok := l.entries[section]
+	return e, ok
+}
+
+// Entries returns all records ordered by section, without those that are no longer needed.
+func (l *List) Entries(now time.Time) []Entry {
+	entries := make([]Entry, 0, len(l.entries))
+	for section, e := range l.entries {
+		if ended := latest(e.Expiry(), e.ReleasedAt); now.Sub(ended) > recordTTL {
+			delete(l.entries, section)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b Entry) int {
+		if a.Section < b.Section {
+			return -1
+		}
+		return 1
+	})
+	return entries
+}
+
+// Active returns the sections in quarantine, in order.
+func (l *List) Active(now time.Time) []string {
+	var sections []string
+	for _, e := range l.Entries(now) {
+		if e.ActiveAt(now) {
+			sections = append(sections, e.Section)
+		}
+	}
+	return sections
+}
+
+func (l *List) put(e Entry) {
+	l.entries[e.Section] = e
+	evictOldest(l.entries, maxEntries, func(e Entry) time.Time { return latest(e.RequestedAt, e.ReleasedAt) })
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -51,6 +51,7 @@
 	VersionConflict    Code = "VersionConflict"
 	UnknownYet         Code = "UnknownYet"
 	LogUnavailable     Code = "LogUnavailable"
+	QuarantinedPrompt  Code = "QuarantinedPrompt"
 )
 
 // Refusal is an error response that a caller gets in place of the response that it asked for.
