quarantine: simulate systems of 9 and 90 runners

What callers saw: requests that crash runners arrive at all VMs, among sound requests with the same other sections. Change: a seeded simulation in virtual time with a lease holder that decides on the evidence of all VMs over links of up to 130 ms; beside the deadly section there are mass crashes, resets of all connections of one VM, and requests that break off alone. It led to these rules: strikes count by the time of their crash rather than by the time they arrive, a section must lead its rivals in crashes or have five consecutive strikes, a later conviction releases sections whose crashes it explains, and an incarnation that runs on takes its strikes with it. The times on links are ages.

--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -58,11 +59,11 @@
 	}
 }
 
-// Strike records a strike and returns the sections that it convicts.
-func (d *Detector) Strike(s Strike) []string {
+// Strike records a strike and returns the sections that it convicts, and those whose conviction is refuted by that.
+func (d *Detector) Strike(s Strike) (convicted, released []string) {
 	c := d.crashOf(s.Incarnation, s.At)
 	if c.alive {
-		return nil
+		return nil, nil
 	}
 	for _, section := range s.Sections {
 		if len(c.sections) < maxCrashSections {
@@ -78,20 +79,21 @@
 			d.suspicionOf(section).add(s, depth)
 		}
 	}
-	convicted := d.convict(s.At)
-	d.evictSections()
-	return convicted
+	convicted, released = d.convict(s.At)
+	evictOldest(d.sections, maxSections, func(s *suspicion) time.Time { return s.changedAt() })
+	return convicted, released
 }
 
 // Success records that an answer has begun and returns the sections whose conviction it refutes.
-func (d *Detector) Success(s Success) []string {
+func (d *Detector) Success(s Success) (released []string) {
 	soundAt := s.soundAt()
-	var released []string
 	for _, section := range s.Sections {
-		if suspected := d.sections[section]; suspected != nil {
+		suspected := d.sections[section]
+		if suspected != nil {
 			suspected.clear(soundAt)
 		}
-		if convicted, ok := d.convicted[section]; ok && (soundAt.After(convicted.at) || d.refuted(section)) {
+		c, convicted := d.convicted[section]
+		if convicted && (soundAt.After(c.at) || c.strikes > 0 && suspected != nil && suspected.count() < c.strikes) {
 			d.Release(section)
 			released = append(released, section)
 		}
@@ -101,18 +103,19 @@
 
 // Alive records that an incarnation runs on after a connection to it broke off, so that no section crashed it. It returns the
 // sections whose conviction this refutes.
-func (d *Detector) Alive(incarnation Incarnation) []string {
+func (d *Detector) Alive(incarnation Incarnation) (released []string) {
 	c := d.crashes[incarnation]
 	if c == nil || c.alive {
 		return nil
 	}
 	c.alive = true
-	var released []string
 	for section := range c.sections {
-		if suspected := d.sections[section]; suspected != nil {
-			suspected.drop(incarnation)
+		suspected := d.sections[section]
+		if suspected == nil {
+			continue
 		}
-		if d.refuted(section) {
+		suspected.drop(incarnation)
+		if c, convicted := d.convicted[section]; convicted && suspected.count() < min(c.strikes, suspectStrikes) {
 			d.Release(section)
 			released = append(released, section)
 		}
@@ -143,6 +146,9 @@
 	evictOldest(d.paroled, maxSections, func(at time.Time) time.Time { return at })
 }
 
+// Convictions returns the convicted sections.
+func (d *Detector) Convictions() []string { return slices.Sorted(maps.Keys(d.convicted)) }
+
 // Convicted reports whether a section is convicted.
 func (d *Detector) Convicted(section string) bool {
 	_, convicted := d.convicted[section]
@@ -184,15 +190,15 @@
 	return watched, suspects
 }
 
-// Crashed returns the incarnations that had strikes since a time and are not known to run on.
-func (d *Detector) Crashed(since time.Time) []Incarnation {
-	var incarnations []Incarnation
+// Crashed returns the incarnations that had strikes since a time and are not known to run on, with the time of the first one.
+func (d *Detector) Crashed(since time.Time) map[Incarnation]time.Time {
+	crashed := make(map[Incarnation]time.Time)
 	for incarnation, c := range d.crashes {
 		if !c.alive && c.at.After(since) {
-			incarnations = append(incarnations, incarnation)
+			crashed[incarnation] = c.at
 		}
 	}
-	return incarnations
+	return crashed
 }
 
 func (d *Detector) suspicionOf(section string) *suspicion {
@@ -217,11 +223,6 @@
 	return c
 }
 
-// evictSections drops the sections whose evidence is oldest if there are too many.
-func (d *Detector) evictSections() {
-	evictOldest(d.sections, maxSections, func(s *suspicion) time.Time { return s.changedAt() })
-}
-
 // evictOldest deletes the oldest entries of a map until it has at most limit.
 func evictOldest[K comparable, V any](entries map[K]V, limit int, changedAt func(V) time.Time) {
 	for len(entries) > limit {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -67,18 +67,20 @@
 func (l *List) Convict(section string, now time.Time) {
 	e := l.entries[section]
 	if e.Released() {
-		e = Entry{}
+		e.Convictions = 0
 	}
 	e.Section = section
 	e.Convictions++
-	e.ConvictedAt, e.RequestedAt = now, now
+	e.ConvictedAt = latest(now, e.ReleasedAt.Add(time.Millisecond))
+	e.RequestedAt = now
 	l.put(e)
 }
 
 // Release records that the conviction of a section was refuted.
 func (l *List) Release(section string, now time.Time) {
 	if e, known := l.entries[section]; known {
-		e.ReleasedAt = now
+		// The conviction may have been recorded by a VM whose clock is ahead.
+		e.ReleasedAt = latest(now, e.ConvictedAt.Add(time.Millisecond))
 		l.put(e)
 	}
 }
--- /dev/null
+++ b/internal/quarantine/simulation_holder_test.go
@@ -0,0 +1,107 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
+)
+
+// brokeOff handles at the VM that a pending request broke off.
+func (s *simulation) brokeOff(r *simRequest) {
+	evidence := quarantine.Strike{
+		Incarnation: quarantine.Incarnation{Runner: r.runner.name, Number: r.incarnation},
+		Sections:    r.sections,
+	}
+	sentAgo := s.now - r.sentAt
+	s.after(r.vm.delay, func() {
+		evidence.SentAt, evidence.At = start.Add(s.now-sentAgo), start.Add(s.now)
+		convicted, released := s.detector.Strike(evidence)
+		for _, section := range convicted {
+			s.convicted[section] = true
+			if section != deadly {
+				s.outcome.wronged = append(s.outcome.wronged, fmt.Sprintf("%s at %v", section, s.now))
+			} else if s.outcome.convictedAt == 0 {
+				s.outcome.convictedAt = s.now
+			}
+		}
+		s.released(released)
+	})
+	if !r.retried && !anyOf(r.sections, r.vm.suspects) {
+		r.retried = true
+		s.send(r)
+	}
+}
+
+// succeeded handles at the VM that an answer began.
+func (s *simulation) succeeded(r *simRequest) {
+	report := false
+	for _, section := range r.sections {
+		reportedAt, reported := r.vm.reported[section]
+		if (r.vm.watched[section] || r.vm.quarantined[section]) && (!reported || s.now-reportedAt >= 200*time.Millisecond) {
+			r.vm.reported[section] = s.now
+			report = true
+		}
+	}
+	if !report {
+		return
+	}
+	sentAgo := s.now - r.sentAt
+	s.after(r.vm.delay, func() {
+		s.released(s.detector.Success(quarantine.Success{
+			Sections: r.sections,
+			SentAt:   start.Add(s.now - sentAgo),
+			At:       start.Add(s.now),
+		}))
+	})
+}
+
+func (s *simulation) released(sections []string) {
+	for _, section := range sections {
+		delete(s.convicted, section)
+	}
+	s.broadcast()
+}
+
+// findLiving reports incarnations that have run on for a while after a connection to them broke off.
+func (s *simulation) findLiving() {
+	s.after(time.Second, s.findLiving)
+	crashed := s.detector.Crashed(time.Time{})
+	for _, runner := range s.runners {
+		for incarnation := range crashed {
+			if runner.name == incarnation.Runner && runner.incarnation == incarnation.Number && !runner.down {
+				s.after(4*time.Second, func() {
+					if runner.incarnation == incarnation.Number && !runner.down {
+						s.released(s.detector.Alive(incarnation))
+					}
+				})
+			}
+		}
+	}
+}
+
+// broadcast sends the holder's findings to the VMs if they changed.
+func (s *simulation) broadcast() {
+	watched, suspects := s.detector.Watched(start.Add(s.now))
+	now := strings.Join(watched, ",") + ";" + strings.Join(suspects, ",") + ";" + fmt.Sprint(s.convicted)
+	if now == s.pushed {
+		return
+	}
+	s.pushed = now
+	watchedSet, suspectSet, convictedSet := set(watched), set(suspects), make(map[string]bool)
+	for section := range s.convicted {
+		convictedSet[section] = true
+	}
+	for _, vm := range s.vms {
+		s.after(vm.delay+50*time.Millisecond, func() { vm.watched, vm.suspects, vm.quarantined = watchedSet, suspectSet, convictedSet })
+	}
+}
+
+func set(sections []string) map[string]bool {
+	all := make(map[string]bool, len(sections))
+	for _, section := range sections {
+		all[section] = true
+	}
+	return all
+}
--- a/internal/quarantine/suspicion.go
+++ b/internal/quarantine/suspicion.go
@@ -44,22 +44,37 @@
 	at, _ := slices.BinarySearchFunc(s.strikes, added, func(a, b strike) int { return a.at.Compare(b.at) })
 	s.strikes = slices.Insert(s.strikes, at, added)
 	if len(s.strikes) > maxStrikes {
-		s.strikes = slices.Delete(s.strikes, 0, 1)
+		s.dropRedundant()
 	}
 }
 
-// count returns the number of consecutive strikes: each is of a request sent after the one before had broken off, so that one
-// fault of many runners or connections counts once.
-func (s *suspicion) count() int {
-	count := 0
+// count returns the number of consecutive strikes.
+func (s *suspicion) count() int { return len(s.consecutive()) }
+
+// consecutive returns the indices of the strikes that count: each is of a request sent after the one before had broken off, and
+// broke off later itself, so that one fault of many runners or connections counts once.
+func (s *suspicion) consecutive() []int {
+	var counted []int
 	var last time.Time
-	for _, candidate := range s.strikes {
-		if count == 0 || candidate.sentAt.After(last.Add(timingError)) {
-			count++
+	for i, candidate := range s.strikes {
+		if len(counted) == 0 || (candidate.sentAt.After(last) && candidate.at.After(last.Add(timingError))) {
+			counted = append(counted, i)
 			last = candidate.at
 		}
 	}
-	return count
+	return counted
+}
+
+// dropRedundant drops the oldest strike that does not count, or else the oldest one.
+func (s *suspicion) dropRedundant() {
+	oldest := 0
+	for i, counted := range s.consecutive() {
+		if i != counted {
+			oldest = i
+			break
+		}
+	}
+	s.strikes = slices.Delete(s.strikes, oldest, oldest+1)
 }
 
 // clear drops the strikes up to a time until which the section is known to be sound.
@@ -81,11 +96,6 @@
 	s.strikes = slices.DeleteFunc(s.strikes, func(known strike) bool { return known.incarnation == incarnation })
 }
 
-// has reports whether there is a strike at an incarnation.
-func (s *suspicion) has(incarnation Incarnation) bool {
-	return slices.ContainsFunc(s.strikes, func(known strike) bool { return known.incarnation == incarnation })
-}
-
 // changedAt returns the time of the newest evidence.
 func (s *suspicion) changedAt() time.Time {
 	if n := len(s.strikes); n > 0 && s.strikes[n-1].at.After(s.soundAt) {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -10,17 +10,19 @@
 	// decideStrikes is the number of consecutive strikes that convicts the most likely of several sections which were pending at
 	// the same crashes.
 	decideStrikes = 5
+	// clearLead is how many more crashes than another a section must have been pending at to be convicted before that.
+	clearLead = 3
 )
 
 // convict convicts the sections that enough strikes point to, the most likely one first: a conviction explains crashes, which
-// then no longer count for other sections.
-func (d *Detector) convict(now time.Time) []string {
-	var convicted []string
+// then no longer count for other sections. It also returns the sections whose conviction is refuted by that.
+func (d *Detector) convict(now time.Time) (convicted, released []string) {
 	for {
 		section, ok := d.mostLikely(now)
 		if !ok {
-			return convicted
+			return convicted, released
 		}
+		released = append(released, d.releaseExplained(section)...)
 		d.sentence(section, conviction{
 			at:      now,
 			strikes: d.threshold(section),
@@ -29,6 +31,29 @@
 	}
 }
 
+// releaseExplained releases the convicted sections whose crashes are explained by a section that is convicted now.
+func (d *Detector) releaseExplained(by string) (released []string) {
+	for section, c := range d.convicted {
+		suspected := d.sections[section]
+		if c.strikes == 0 || suspected == nil {
+			continue
+		}
+		unexplained := 0
+		for _, known := range suspected.strikes {
+			if crashed := d.crashes[known.incarnation]; crashed == nil || !crashed.sections[by] {
+				unexplained++
+			}
+		}
+		if unexplained < min(c.strikes, suspectStrikes) {
+			released = append(released, section)
+		}
+	}
+	for _, section := range released {
+		d.Release(section)
+	}
+	return released
+}
+
 // mostLikely returns the section to convict next, if there is one.
 func (d *Detector) mostLikely(now time.Time) (string, bool) {
 	best, found := "", false
@@ -60,17 +85,17 @@
 	return convictStrikes
 }
 
-// likelier reports whether a rather than b crashes runners: a former convict, the section with more consecutive strikes, or
-// with more crashes, or else the one that is later in the prompt, as fewer sound requests share it.
+// likelier reports whether a rather than b crashes runners: a former convict, the section pending at more crashes, or with
+// more consecutive strikes, or else the one that is later in the prompt, as fewer sound requests share it.
 func (d *Detector) likelier(a, b string) bool {
 	x, y := d.sections[a], d.sections[b]
 	if paroled := d.onParole(a); paroled != d.onParole(b) {
 		return paroled
 	}
-	if m, n := x.count(), y.count(); m != n {
+	if m, n := d.crashCount(a), d.crashCount(b); m != n {
 		return m > n
 	}
-	if m, n := len(x.strikes), len(y.strikes); m != n {
+	if m, n := x.count(), y.count(); m != n {
 		return m > n
 	}
 	if x.depth != y.depth {
@@ -79,27 +104,44 @@
 	return a < b
 }
 
-// hasRival reports whether another suspect was pending at most of a section's crashes. An answer that clears one of the two may
-// still be on its way.
+// hasRival reports whether another suspect was pending at most of a section's crashes and at almost as many in all. An answer
+// that clears one of the two may still be on its way.
 func (d *Detector) hasRival(section string) bool {
-	suspected := d.sections[section]
+	crashes := d.crashCount(section)
 	for other, rival := range d.sections {
-		if other == section || d.Convicted(other) || rival.count() < suspectStrikes {
+		if other == section || d.Convicted(other) || rival.count() < suspectStrikes || d.crashCount(other)+clearLead <= crashes {
 			continue
 		}
 		shared := 0
-		for _, known := range suspected.strikes {
-			if rival.has(known.incarnation) {
+		for _, known := range d.sections[section].strikes {
+			if d.pendingAt(other, known.incarnation) {
 				shared++
 			}
 		}
-		if 2*shared > len(suspected.strikes) {
+		if 2*shared > len(d.sections[section].strikes) {
 			return true
 		}
 	}
 	return false
 }
 
+// crashCount returns the number of crashes at which a section was pending, without those before it was known to be sound.
+func (d *Detector) crashCount(section string) int {
+	count := 0
+	for incarnation := range d.crashes {
+		if d.pendingAt(section, incarnation) {
+			count++
+		}
+	}
+	return count
+}
+
+// pendingAt reports whether a section may have caused the crash of an incarnation.
+func (d *Detector) pendingAt(section string, incarnation Incarnation) bool {
+	c := d.crashes[incarnation]
+	return c != nil && !c.explained && !c.alive && c.sections[section] && c.at.After(d.sections[section].soundAt)
+}
+
 func (d *Detector) sentence(section string, c conviction) {
 	d.convicted[section] = c
 	delete(d.paroled, section)
@@ -119,13 +161,3 @@
 		}
 	}
 }
-
-// refuted reports whether a conviction rested on strikes that no longer suffice.
-func (d *Detector) refuted(section string) bool {
-	c, convicted := d.convicted[section]
-	if !convicted || c.strikes == 0 {
-		return false
-	}
-	suspected := d.sections[section]
-	return suspected != nil && suspected.count() < c.strikes
-}
