dispatch: ask the guard of prompt sections before each attempt

Callers of sound requests lost their answers whenever a runner ended under another request. One with a suspected section that may have run is not sent to a second runner, unless its stream had begun, which shows that it is not the cause. The evidence is a connection that its runner ended before any data of a successful response had come, and the first data of each.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -115,6 +115,9 @@
 
 // pickRunner chooses the runner for the next attempt.
 func (c *call) pickRunner(ctx context.Context) (choice, *refusal.Refusal) {
+	if refused := c.quarantineRefusal(); refused != nil {
+		return choice{}, refused
+	}
 	needs := c.requirements()
 	pick := c.d.Tracker.choose(c.d.Roster(), needs, c.d.Clock.Now())
 	if pick.runner == nil && pick.withModel == 0 && needs.model != "" {
@@ -176,13 +179,13 @@
 
 // takeRetry reports whether another attempt is allowed and, if so, takes it from the retry budget.
 func (c *call) takeRetry() bool {
-	return c.attempts < c.route.MaxAttempts && c.d.RetryBudget.TakeRetry(c.service.Name, c.d.Clock.Now())
+	return c.attempts < c.route.MaxAttempts && !(c.mayHaveRun && c.suspected()) && c.d.RetryBudget.TakeRetry(c.service.Name, c.d.Clock.Now())
 }
 
 // hasAlternative reports whether the request could be sent to another runner now.
 func (c *call) hasAlternative() bool {
 	now := c.d.Clock.Now()
-	if c.attempts >= c.route.MaxAttempts || !c.d.RetryBudget.RetryAllowed(c.service.Name, now) {
+	if c.attempts >= c.route.MaxAttempts || c.suspected() || !c.d.RetryBudget.RetryAllowed(c.service.Name, now) {
 		return false
 	}
 	return c.d.Tracker.choose(c.d.Roster(), c.requirements(), now).runner != nil
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -30,8 +30,9 @@
 
 // handleBody handles a part of the body of a response.
 func (c *call) handleBody(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
-	if len(u.data) > 0 {
+	if len(u.data) > 0 && !a.received {
 		a.received = true
+		c.recordSound(a)
 	}
 	if c.streams(a.response) {
 		return c.relayEvents(ctx, a, u)
--- /dev/null
+++ b/internal/dispatch/sections.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"syscall"
+
+	"github.com/cowsliparch/cowsliparch/internal/refusal"
+)
+
+// quarantineRefusal returns the refusal of a request whose prompt has a section in quarantine, or nil. The caller is asked to come
+// back as late as it can, because the quarantine may end.
+func (c *call) quarantineRefusal() *refusal.Refusal {
+	if c.service.Engine == nil {
+		return nil
+	}
+	id, quarantined := c.d.Guard.Quarantined(c.request.PromptSections)
+	if !quarantined {
+		return nil
+	}
+	message := "section " + id + " of the prompt crashes runners"
+	if c.mayHaveRun {
+		return refusal.New(http.StatusBadGateway, refusal.QuarantinedPrompt, message).WithRan(refusal.Unknown)
+	}
+	return refusal.New(http.StatusServiceUnavailable, refusal.QuarantinedPrompt, message).
+		WithRetryAfter(c.retryAfter(c.deadline.Sub(c.d.Clock.Now())))
+}
+
+// suspected reports whether the request may be the one that crashes runners, so that it is not to be sent to a second one. One
+// whose stream has begun is not.
+func (c *call) suspected() bool {
+	return c.service.Engine != nil && !c.responseStarted && c.d.Guard.Suspected(c.request.PromptSections)
+}
+
+// recordStrike records that the connection to a runner broke off before the runner had begun its response.
+func (c *call) recordStrike(a *attempt, err error) {
+	if c.service.Engine != nil && !a.received && brokenOff(err) {
+		c.d.Guard.RecordStrike(a.pick.runner, c.request.PromptSections, a.sent, a.lastUpdate)
+	}
+}
+
+// recordSound records that a runner has begun its response.
+func (c *call) recordSound(a *attempt) {
+	if c.service.Engine != nil && a.response.successful() {
+		c.d.Guard.RecordSound(c.request.PromptSections, a.sent, a.lastUpdate)
+	}
+}
+
+// brokenOff reports whether an attempt failed because the other side ended the connection.
+func brokenOff(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -66,6 +66,7 @@
 		return false, nil
 	}
 	c.mayHaveRun = true
+	c.recordStrike(a, err)
 	return c.retryOrFail(a, "the runner did not answer")
 }
 
@@ -73,6 +74,7 @@
 func (c *call) handleBreak(a *attempt, err error) (bool, *refusal.Refusal) {
 	c.recordSendFailure(a.pick, &endpoint.TruncatedError{Cause: err})
 	c.d.Tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+	c.recordStrike(a, err)
 	return c.retryOrFail(a, "the answer broke off")
 }
 
