quarantine: count a retry sent as soon as its first attempt broke off

What callers saw: with few requests that crash runners, both attempts of one count once, and more of them are needed for a verdict. Cause: a strike counted only if its request was sent later than the one before had broken off; a retry is sent at that very moment. Change: equal times count. The records get the times that a store needs: a record whose clock was ahead is clamped, and one that is obsolete is recognised.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -23,7 +23,7 @@
 	Convictions int
 	// ConvictedAt is when the newest conviction was made, ReleasedAt when one was last refuted.
 	ConvictedAt time.Time
-	ReleasedAt  time.Time
+	ReleasedAt  time.Time `json:",omitzero"`
 	// RequestedAt is when a request with the section last arrived.
 	RequestedAt time.Time
 }
@@ -43,6 +43,21 @@
 // ActiveAt reports whether the section is in quarantine.
 func (e Entry) ActiveAt(now time.Time) bool { return !e.Released() && now.Before(e.Expiry()) }
 
+// Obsolete reports whether the record is no longer needed.
+func (e Entry) Obsolete(now time.Time) bool {
+	return now.Sub(latest(e.Expiry(), e.ReleasedAt)) > recordTTL
+}
+
+// NotAfter returns the entry with times that are at most now, as the clock by which it was written may have been ahead.
+func (e Entry) NotAfter(now time.Time) Entry {
+	released := e.Released()
+	e.ConvictedAt, e.RequestedAt = earliest(e.ConvictedAt, now), earliest(e.RequestedAt, now)
+	if released {
+		e.ReleasedAt = latest(earliest(e.ReleasedAt, now), e.ConvictedAt.Add(time.Millisecond))
+	}
+	return e
+}
+
 // changedAt returns when the entry last changed its meaning.
 func (e Entry) changedAt() time.Time {
 	if e.Released() {
@@ -123,7 +138,7 @@
 func (l *List) Entries(now time.Time) []Entry {
 	entries := make([]Entry, 0, len(l.entries))
 	for section, e := range l.entries {
-		if ended := latest(e.Expiry(), e.ReleasedAt); now.Sub(ended) > recordTTL {
+		if e.Obsolete(now) {
 			delete(l.entries, section)
 			continue
 		}
@@ -160,3 +175,10 @@
 	}
 	return b
 }
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/internal/quarantine/store.go
+++ b/internal/quarantine/store.go
@@ -8,4 +8,6 @@
 	LoadQuarantine(ctx context.Context) ([]Entry, error)
 	// SaveQuarantine replaces the record of a section. It fails with logservice.UnavailableError or logservice.ResponseLostError.
 	SaveQuarantine(ctx context.Context, e Entry) error
+	// DeleteQuarantine deletes the record of a section, and fails like SaveQuarantine.
+	DeleteQuarantine(ctx context.Context, section string) error
 }
--- a/internal/quarantine/suspicion.go
+++ b/internal/quarantine/suspicion.go
@@ -51,13 +51,13 @@
 // count returns the number of consecutive strikes.
 func (s *suspicion) count() int { return len(s.consecutive()) }
 
-// consecutive returns the indices of the strikes that count: each is of a request sent after the one before had broken off, and
+// consecutive returns the indices of the strikes that count: each is of a request sent once the one before had broken off, and
 // broke off later itself, so that one fault of many runners or connections counts once.
 func (s *suspicion) consecutive() []int {
 	var counted []int
 	var last time.Time
 	for i, candidate := range s.strikes {
-		if len(counted) == 0 || (candidate.sentAt.After(last) && candidate.at.After(last.Add(timingError))) {
+		if len(counted) == 0 || (!candidate.sentAt.Before(last) && candidate.at.After(last.Add(timingError))) {
 			counted = append(counted, i)
 			last = candidate.at
 		}
