quarantine: guard of an entry VM

What callers saw: no VM tells another which section a runner ended under, so each finds out for itself, at the cost of runners. Change: promptguard.Guard implements dispatch.SectionGuard. Each VM reports its strikes, and answers with sections that matter, to the lease holder, whose verdicts apply to all VMs; a VM without a holder decides for itself. The holder saves its verdicts, and releases sections whose runners go on registering. Events 2201 to 2203, three metrics. Evidence: guards linked in memory, with a clock that the tests move: refusal on all VMs, a new holder, the loss of all VMs, answers that release, expiry, and a VM that was cut off; TestStoreFailuresAreRetried runs the loops against a store of which half the calls fail.

--- /dev/null
+++ b/internal/promptguard/duties.go
@@ -0,0 +1,148 @@
+package promptguard
+
+import (
+	"context"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/pause"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
+)
+
+const (
+	// tickInterval is the pause between two rounds of duties that depend on time.
+	tickInterval = time.Second
+	// requestReportInterval is the pause between two reports that requests with a section arrive.
+	requestReportInterval = time.Minute
+	// registrationLag is how long after its end a runner's registrations may still become visible, and crashMemory how long after
+	// a crash they are followed.
+	registrationLag = 4 * time.Second
+	crashMemory     = time.Minute
+	// pulsesAlive is the number of rounds with a newer registration that shows that a runner runs.
+	pulsesAlive = 2
+)
+
+// pulse follows the registrations of an incarnation with strikes.
+type pulse struct {
+	heartbeat uint64
+	// advances counts the rounds in which the heartbeat was newer than in the round before.
+	advances int
+}
+
+// tick runs the duties that depend on time until the context ends.
+func (g *Guard) tick(ctx context.Context) error {
+	for {
+		if !pause.For(ctx, g.Clock, tickInterval) {
+			return nil
+		}
+		g.runDuties()
+	}
+}
+
+func (g *Guard) runDuties() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.updateRole(now)
+	g.recordRequests(now)
+	g.paroleExpired(now)
+	switch g.role {
+	case holder:
+		g.findLiving(now)
+		g.renewSaved(now)
+		signal(g.wake)
+	case linked:
+		g.dropOverruled(now)
+	}
+	for section, at := range g.reportedAt {
+		if now.Sub(at) > requestReportInterval {
+			delete(g.reportedAt, section)
+		}
+	}
+	g.refresh(now)
+}
+
+// recordRequests extends the quarantine of sections that are still requested.
+func (g *Guard) recordRequests(now time.Time) {
+	var requested []string
+	for section, entry := range g.view.Load().quarantined {
+		at := time.UnixMilli(entry.requestedAt.Load())
+		if now.Sub(at) > requestReportInterval {
+			continue
+		}
+		g.list.Requested(section, at)
+		if now.Sub(g.reportedAt[requestKey(section)]) >= requestReportInterval {
+			g.reportedAt[requestKey(section)] = now
+			requested = append(requested, section)
+		}
+	}
+	if len(requested) > 0 {
+		g.report(quarantine.Evidence{Requested: requested})
+	}
+}
+
+// requestKey is the key under which the report of a section's requests is remembered.
+func requestKey(section string) string { return "request:" + section }
+
+// paroleExpired ends the quarantine of sections that were not requested for long enough.
+func (g *Guard) paroleExpired(now time.Time) {
+	for section, checked := range g.view.Load().quarantined {
+		entry, known := g.list.Entry(section)
+		if !known {
+			entry = quarantine.Entry{
+				Section:     section,
+				Convictions: 1,
+				RequestedAt: time.UnixMilli(checked.requestedAt.Load()),
+			}
+		}
+		if !entry.Released() && !entry.ActiveAt(now) {
+			g.detector.Parole(section, now)
+			g.logReleased(section, reasonExpired)
+		}
+	}
+}
+
+// dropOverruled drops convictions of this VM that the lease holder, who has the evidence of all VMs, does not share.
+func (g *Guard) dropOverruled(now time.Time) {
+	overruled := make(map[string]bool)
+	for _, section := range g.detector.Convictions() {
+		if entry, known := g.list.Entry(section); known && entry.ActiveAt(now) {
+			continue
+		}
+		if !g.overruled[section] {
+			// The holder may not have decided yet.
+			overruled[section] = true
+			continue
+		}
+		g.detector.Release(section)
+		g.logReleased(section, reasonPeer)
+	}
+	g.overruled = overruled
+}
+
+// findLiving finds incarnations that go on registering after a connection to them broke off.
+func (g *Guard) findLiving(now time.Time) {
+	crashed := g.detector.Crashed(now.Add(-crashMemory))
+	for incarnation, at := range crashed {
+		runner, registered := g.Roster().Runner(incarnation.Runner)
+		if !registered || runner.Incarnation != incarnation.Number || now.Sub(at) < registrationLag {
+			continue
+		}
+		known := g.pulses[incarnation]
+		if known == nil {
+			g.pulses[incarnation] = &pulse{heartbeat: runner.Heartbeat}
+			continue
+		}
+		if runner.Heartbeat > known.heartbeat {
+			known.heartbeat = runner.Heartbeat
+			known.advances++
+		}
+		if known.advances >= pulsesAlive {
+			g.release(g.detector.Alive(incarnation), reasonAlive, now)
+		}
+	}
+	for incarnation := range g.pulses {
+		if _, followed := crashed[incarnation]; !followed {
+			delete(g.pulses, incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/internal/promptguard/exchange.go
@@ -0,0 +1,154 @@
+package promptguard
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/pause"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
+)
+
+const (
+	// batchDelay is how long changes are collected before they are broadcast, and broadcastInterval the pause after a broadcast.
+	batchDelay        = 20 * time.Millisecond
+	broadcastInterval = 80 * time.Millisecond
+	// requestedStep is how much later the last request with a section must be for its record to be broadcast again.
+	requestedStep = 2 * time.Minute
+)
+
+// report sends evidence to the lease holder, if that is another VM.
+func (g *Guard) report(e quarantine.Evidence) {
+	if g.role != holder {
+		g.Peers.SendEvidence(e)
+	}
+}
+
+// Evidence returns what a lease holder to which a link was just opened may lack.
+func (g *Guard) Evidence() quarantine.Evidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	e := quarantine.Evidence{Entries: quarantine.ReportEntries(g.list.Entries(now), now)}
+	for _, strike := range g.recent {
+		if now.Sub(strike.At) <= recentTTL || slices.ContainsFunc(strike.Sections, g.detector.Convicted) {
+			e.Strikes = append(e.Strikes, quarantine.ReportStrike(strike, now))
+		}
+	}
+	return e
+}
+
+// ReceiveEvidence handles evidence of another VM.
+func (g *Guard) ReceiveEvidence(e quarantine.Evidence) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.updateRole(now)
+	for _, report := range e.Entries {
+		g.merge(report.Entry(now), now)
+	}
+	for _, report := range e.Successes {
+		g.release(g.detector.Success(report.Success(now)), reasonAnswered, now)
+	}
+	for _, report := range e.Strikes {
+		g.strike(report.Strike(now), now)
+	}
+	for _, section := range e.Requested {
+		g.list.Requested(section, now)
+	}
+	signal(g.wake)
+}
+
+// Status returns what a VM that just opened a link to this one may lack.
+func (g *Guard) Status() quarantine.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	watched, suspects := g.detector.Watched(now)
+	return quarantine.Status{
+		Watched:  watched,
+		Suspects: suspects,
+		Entries:  quarantine.ReportEntries(g.list.Entries(now), now),
+	}
+}
+
+// ReceiveStatus handles the decisions of the lease holder.
+func (g *Guard) ReceiveStatus(s quarantine.Status) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.holderLink, _ = g.Peers.LinkedToHolder()
+	g.updateRole(now)
+	g.fromHolder = s
+	for _, report := range s.Entries {
+		g.merge(report.Entry(now), now)
+	}
+	g.refresh(now)
+}
+
+// publish applies and broadcasts changes until the context ends.
+func (g *Guard) publish(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.wake:
+		}
+		if !pause.For(ctx, g.Clock, batchDelay) {
+			return nil
+		}
+		if g.publishOnce() && !pause.For(ctx, g.Clock, broadcastInterval) {
+			return nil
+		}
+	}
+}
+
+// publishOnce applies changes and reports whether it broadcast any.
+func (g *Guard) publishOnce() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.updateRole(now)
+	g.refresh(now)
+	if g.role != holder {
+		return false
+	}
+	var s quarantine.Status
+	s.Watched, s.Suspects = g.detector.Watched(now)
+	entries := g.list.Entries(now)
+	resend := g.entriesChanged(entries)
+	content := fmt.Sprint(s.Watched, s.Suspects)
+	if content == g.sent && !resend {
+		return false
+	}
+	if resend {
+		s.Entries = quarantine.ReportEntries(entries, now)
+		g.sentEntries = make(map[string]quarantine.Entry, len(entries))
+		for _, e := range entries {
+			g.sentEntries[e.Section] = e
+		}
+	}
+	g.sent = content
+	g.Peers.BroadcastQuarantine(s)
+	return true
+}
+
+// entriesChanged reports whether the records differ so much from those last broadcast that they are due again.
+func (g *Guard) entriesChanged(entries []quarantine.Entry) bool {
+	for _, e := range entries {
+		sent, known := g.sentEntries[e.Section]
+		if !known || e.Released() != sent.Released() || e.Convictions != sent.Convictions || e.RequestedAt.Sub(sent.RequestedAt) >= requestedStep {
+			return true
+		}
+	}
+	return false
+}
+
+// signal wakes a loop that waits on a channel.
+func signal(wake chan struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/promptguard/guard.go
@@ -0,0 +1,232 @@
+package promptguard
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+	"unicode/utf8"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+const (
+	// maxPromptSections and maxSectionBytes limit which sections of a prompt are tracked.
+	maxPromptSections = 32
+	maxSectionBytes   = 128
+	// reportInterval is the pause between two reports of a section's successes.
+	reportInterval = 200 * time.Millisecond
+	// maxRecentStrikes and recentTTL bound the strikes that are sent again over a new link.
+	maxRecentStrikes = 64
+	recentTTL        = 30 * time.Second
+)
+
+// Peers connects a guard to the other VMs.
+type Peers interface {
+	// HoldsLease reports whether this VM decides for all VMs.
+	HoldsLease() bool
+	// LinkedToHolder reports whether this VM has a link to the lease holder, and returns the number of links opened so far.
+	LinkedToHolder() (link uint64, ok bool)
+	// SendEvidence sends evidence to the lease holder, if there is a link.
+	SendEvidence(e quarantine.Evidence)
+	// BroadcastQuarantine sends decisions to all linked VMs.
+	BroadcastQuarantine(s quarantine.Status)
+}
+
+// Dependencies holds what a guard uses.
+type Dependencies struct {
+	Peers Peers
+	Store quarantine.Store
+	// Roster returns the known runners.
+	Roster  func() *roster.View
+	Metrics *Metrics
+	Clock   clockwork.Clock
+	Logger  *slog.Logger
+}
+
+// Guard implements dispatch.SectionGuard; it is safe for concurrent use.
+type Guard struct {
+	Dependencies
+	view atomic.Pointer[view]
+	// wake requests a broadcast, saveWake a round of saving.
+	wake     chan struct{}
+	saveWake chan struct{}
+	// loaded is closed once the stored records have been read; reload requests to read them again.
+	loaded chan struct{}
+	reload chan struct{}
+
+	mu       sync.Mutex
+	detector *quarantine.Detector
+	list     *quarantine.List
+	// fromHolder is what the lease holder last sent, and holderLink the link over which it came.
+	fromHolder quarantine.Status
+	holderLink uint64
+	role       role
+	// recent holds this VM's newest strikes.
+	recent []quarantine.Strike
+	// reportedAt is when a success or request of a section was last reported.
+	reportedAt map[string]time.Time
+	// suspects are those last logged.
+	suspects map[string]bool
+	// sent is what was last broadcast, and sentEntries the records last broadcast.
+	sent        string
+	sentEntries map[string]quarantine.Entry
+	// own holds the sections that this VM convicted while it was alone.
+	own map[string]bool
+	// overruled holds this VM's convictions that the lease holder did not share as of the last round.
+	overruled map[string]bool
+	// active holds the sections in quarantine as of the last round, to notice expiries.
+	active map[string]bool
+	// unsaved holds the sections whose record is to be saved, saved the records as stored.
+	unsaved map[string]bool
+	saved   map[string]quarantine.Entry
+	// savedKnown is set once the stored records have been read since this VM got the lease.
+	savedKnown bool
+	// pulses follow the heartbeats of incarnations with strikes.
+	pulses map[quarantine.Incarnation]*pulse
+}
+
+// New returns a guard without evidence; the caller runs its loops.
+func New(d Dependencies) *Guard {
+	g := &Guard{
+		Dependencies: d,
+		wake:         make(chan struct{}, 1),
+		saveWake:     make(chan struct{}, 1),
+		loaded:       make(chan struct{}),
+		reload:       make(chan struct{}, 1),
+		detector:     quarantine.NewDetector(),
+		list:         quarantine.NewList(),
+		role:         alone,
+		reportedAt:   make(map[string]time.Time),
+		suspects:     make(map[string]bool),
+		own:          make(map[string]bool),
+		active:       make(map[string]bool),
+		unsaved:      make(map[string]bool),
+		saved:        make(map[string]quarantine.Entry),
+		pulses:       make(map[quarantine.Incarnation]*pulse),
+	}
+	g.view.Store(&view{})
+	return g
+}
+
+// Loops returns the background loops.
+func (g *Guard) Loops() []func(context.Context) error {
+	return []func(context.Context) error{g.publish, g.tick, g.load, g.save}
+}
+
+// Quarantined implements dispatch.SectionGuard.
+func (g *Guard) Quarantined(sections []dispatch.PromptSection) (id string, ok bool) {
+	v := g.view.Load()
+	if len(v.quarantined) == 0 {
+		return "", false
+	}
+	for _, section := range shared(sections) {
+		if entry := v.quarantined[section.ID]; entry != nil {
+			entry.requestedAt.Store(g.Clock.Now().UnixMilli())
+			g.Metrics.refused.Inc()
+			return section.ID, true
+		}
+	}
+	return "", false
+}
+
+// Suspected implements dispatch.SectionGuard.
+func (g *Guard) Suspected(sections []dispatch.PromptSection) bool {
+	v := g.view.Load()
+	return len(v.suspects) > 0 && slices.ContainsFunc(shared(sections), func(s dispatch.PromptSection) bool { return v.suspects[s.ID] })
+}
+
+// RecordStrike implements dispatch.SectionGuard.
+func (g *Guard) RecordStrike(runner *roster.Runner, sections []dispatch.PromptSection, sentAt, at time.Time) {
+	strike := quarantine.Strike{
+		Incarnation: quarantine.Incarnation{
+			Runner: runner.ID,
+			Number: runner.Incarnation,
+		},
+		Sections: trackedIDs(sections),
+		SentAt:   sentAt,
+		At:       at,
+	}
+	if len(strike.Sections) == 0 {
+		return
+	}
+	g.Metrics.strikes.Inc()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.recent = append(g.recent, strike)
+	if len(g.recent) > maxRecentStrikes {
+		g.recent = slices.Delete(g.recent, 0, 1)
+	}
+	g.updateRole(now)
+	g.report(quarantine.Evidence{
+		Strikes: []quarantine.StrikeReport{quarantine.ReportStrike(strike, now)},
+	})
+	g.strike(strike, now)
+	g.refresh(now)
+	signal(g.wake)
+}
+
+// RecordSound implements dispatch.SectionGuard.
+func (g *Guard) RecordSound(sections []dispatch.PromptSection, sentAt, now time.Time) {
+	v := g.view.Load()
+	if !slices.ContainsFunc(shared(sections), func(s dispatch.PromptSection) bool { return v.matters(s.ID) }) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.reportDue(trackedIDs(sections), v, now) {
+		return
+	}
+	success := quarantine.Success{
+		Sections: trackedIDs(sections),
+		SentAt:   sentAt,
+		At:       now,
+	}
+	g.updateRole(now)
+	g.report(quarantine.Evidence{
+		Successes: []quarantine.SuccessReport{quarantine.ReportSuccess(success, now)},
+	})
+	g.release(g.detector.Success(success), reasonAnswered, now)
+	signal(g.wake)
+}
+
+// reportDue reports whether a success of one of the sections matters and has not been reported for a while.
+func (g *Guard) reportDue(sections []string, v *view, now time.Time) bool {
+	due := false
+	for _, section := range sections {
+		if v.matters(section) && now.Sub(g.reportedAt[section]) >= reportInterval {
+			g.reportedAt[section] = now
+			due = true
+		}
+	}
+	return due
+}
+
+// shared returns the sections of a prompt that other requests may share: all but the last.
+func shared(sections []dispatch.PromptSection) []dispatch.PromptSection {
+	return sections[:max(len(sections)-1, 0)]
+}
+
+// trackedIDs returns the IDs of the shared sections that are tracked.
+func trackedIDs(sections []dispatch.PromptSection) []string {
+	sections = shared(sections)
+	ids := make([]string, 0, min(len(sections), maxPromptSections))
+	for _, section := range sections {
+		if len(ids) < maxPromptSections && trackable(section.ID) {
+			ids = append(ids, section.ID)
+		}
+	}
+	return ids
+}
+
+// trackable reports whether a section can be tracked: peers don't accept text that is not UTF-8.
+func trackable(id string) bool {
+	return id != "" && len(id) <= maxSectionBytes && utf8.ValidString(id)
+}
