quarantine: share verdicts between VMs and keep them in the store

What callers saw: no VM tells another which section a runner ended under; and all VMs can end at once: they have no disk, so what they learned about a section would be learned again at the cost of runners. Change: serve runs the guard. The links get the frames Evidence and Quarantine, as new optional fields that older releases skip. A VM sends its records and recent strikes over each new link and the holder answers with what is decided, so a new holder learns it from the VMs. Times are sent as ages, because clocks differ. The records are in the topic keyed.quarantine, one for each section; every VM reads them once at its start, and a new lease holder once more. A starting VM is ready once they are read, or after three seconds. Evidence: TestQuarantineIsSentOverNewLink, TestEvidenceAndDecisionsCrossLink, TestQuarantineIsStored, TestQuarantineStoreErrors; the end-to-end tests of platform pass with the guard in place.

--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -38,6 +39,10 @@
 	Occupancy roster.Occupancy `cbor:",omitempty"`
 	// Requests is the demand of all VMs for each model, sent by the lease holder.
 	Requests []orders.RequestRate `cbor:"Rates,omitempty"`
+	// Evidence is what a VM reports on prompt sections that crash runners.
+	Evidence *quarantine.Evidence `cbor:",omitempty"`
+	// Quarantine is what the lease holder decided on them.
+	Quarantine *quarantine.Status `cbor:",omitempty"`
 }
 
 type holding = orders.Holding
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -13,6 +13,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/framelink"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/pause"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -159,6 +160,10 @@
 		s.member = f.Hello
 		h.membersVersion++
 		h.mu.Unlock()
+		status := h.local.QuarantineStatus()
+		_ = s.link.TrySend(frame{Quarantine: &status})
+	case f.Evidence != nil:
+		h.local.ReceiveEvidence(*f.Evidence)
 	case f.MissingModel != nil:
 		h.local.ReceiveMissingModel(f.MissingModel.Service, f.MissingModel.Model, f.MissingModel.Adapter)
 	case f.Request != nil:
@@ -206,6 +211,9 @@
 // BroadcastChanges sends single registrations that were read from the store to every linked VM.
 func (h *Hub) BroadcastChanges(changes []roster.Change) { h.broadcast(frame{Changes: changes}) }
 
+// BroadcastQuarantine sends every linked VM what is decided here on prompt sections.
+func (h *Hub) BroadcastQuarantine(status quarantine.Status) { h.broadcast(frame{Quarantine: &status}) }
+
 // BroadcastHeartbeat sends every linked VM a heartbeat at once.
 func (h *Hub) BroadcastHeartbeat() { h.broadcast(frame{Heartbeat: h.heartbeat()}) }
 
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -57,4 +58,12 @@
 	ReceiveDemand(vm string, rates []orders.Rate)
 	// ReceiveMissingModel handles a request of a VM's caller for a model or adapter that no runner holds.
 	ReceiveMissingModel(service, model, adapter string)
+	// Evidence returns what a lease holder to which a link was opened may lack of this VM's evidence on prompt sections.
+	Evidence() quarantine.Evidence
+	// ReceiveEvidence handles a VM's evidence on prompt sections.
+	ReceiveEvidence(e quarantine.Evidence)
+	// QuarantineStatus returns what is decided here on prompt sections.
+	QuarantineStatus() quarantine.Status
+	// ReceiveQuarantineStatus handles what another VM decided on prompt sections.
+	ReceiveQuarantineStatus(s quarantine.Status)
 }
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -16,6 +16,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/framelink"
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
 	"github.com/cowsliparch/cowsliparch/internal/pause"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 )
 
 const (
@@ -113,6 +114,16 @@
 	}
 }
 
+// SendEvidence reports evidence on prompt sections to the lease holder, if there is a link to it.
+func (s *Spoke) SendEvidence(e quarantine.Evidence) {
+	s.mu.Lock()
+	link := s.link
+	s.mu.Unlock()
+	if link != nil {
+		_ = link.TrySend(frame{Evidence: &e})
+	}
+}
+
 // Run keeps a link to the lease holder open until the context ends.
 func (s *Spoke) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -166,6 +177,8 @@
 	}()
 	event.LinkUp.Log(s.logger, slog.String("Address", address))
 	_ = link.TrySend(frame{Hello: &s.self})
+	evidence := s.local.Evidence()
+	_ = link.TrySend(frame{Evidence: &evidence})
 	go s.reportDemand(ctx, link, address)
 	go s.reportUsage(ctx, link)
 	for {
@@ -244,6 +257,8 @@
 		s.local.ReceiveOccupancy(f.Occupancy)
 	case f.Requests != nil:
 		s.local.ReceiveRequestTotals(f.Requests)
+	case f.Quarantine != nil:
+		s.local.ReceiveQuarantineStatus(*f.Quarantine)
 	}
 }
 
--- a/internal/serving/dependencies.go
+++ b/internal/serving/dependencies.go
@@ -12,6 +12,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/registry"
 	"github.com/cowsliparch/cowsliparch/internal/settings"
 )
@@ -25,6 +26,7 @@
 	ReloadSignals <-chan os.Signal
 	Source        registry.Source
 	Log           logservice.ConditionalLog
+	Quarantine    quarantine.Store
 	Sender        dispatch.Sender
 	Orders        orders.Client
 	Pool          *outbound.Pool
--- a/internal/serving/http.go
+++ b/internal/serving/http.go
@@ -69,7 +69,7 @@
 }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if s.Stopping() || !s.watcher.Ready() {
+	if s.Stopping() || !s.watcher.Ready() || !s.quarantineKnown() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/serving/loops.go
+++ b/internal/serving/loops.go
@@ -42,7 +42,7 @@
 
 // loops returns the background loops of the process.
 func (s *Server) loops() []func(context.Context) error {
-	return []func(context.Context) error{
+	return append(s.guard.Loops(),
 		s.watcher.WatchConfiguration,
 		s.watcher.WatchRunners,
 		s.lease.Run,
@@ -52,7 +52,7 @@
 		s.aggregator.Run,
 		s.maintain,
 		s.watchSettings,
-	}
+	)
 }
 
 // maintain periodically closes expired idle connections, drops outdated state, gives up the lease if another VM should hold
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -20,6 +20,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/orderlease"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/promptguard"
 	"github.com/cowsliparch/cowsliparch/internal/registry"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 	"github.com/cowsliparch/cowsliparch/internal/settings"
@@ -52,11 +53,13 @@
 	announcer   *cluster.Announcer
 	aggregator  *cluster.UsageAggregator
 	spoke       *cluster.Spoke
+	guard       *promptguard.Guard
 	stopping    atomic.Bool
 	// settings is the newest valid settings; Settings is what the process started with.
 	settings atomic.Pointer[settings.Serving]
 	// incarnation identifies this run of the process.
 	incarnation string
+	startedAt   time.Time
 	// wasLinked is set once another VM was linked while this VM held the lease; lastLinked is when one was last linked.
 	wasLinked  bool
 	lastLinked time.Time
@@ -83,6 +86,7 @@
 		retryBudget: dispatch.NewRetryBudget(retryLimits(d.Settings), d.Clock.Now()),
 		demand:      orders.NewMeter(d.Clock.Now()),
 		incarnation: uuid.NewString(),
+		startedAt:   d.Clock.Now(),
 	}
 	s.settings.Store(&d.Settings)
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -90,6 +94,14 @@
 		FirstStart:   d.Settings.VM.FirstStart,
 		ChangeWithin: d.Settings.Control.ChangeWithin(),
 	}, d.Clock, d.Logger)
+	s.guard = promptguard.New(promptguard.Dependencies{
+		Peers:   &guardPeers{server: s},
+		Store:   d.Quarantine,
+		Roster:  s.roster.View,
+		Metrics: promptguard.NewMetrics(s.registry),
+		Clock:   d.Clock,
+		Logger:  d.Logger,
+	})
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
 		Catalog:     s.catalog.Current,
 		Roster:      s.roster.View,
@@ -98,6 +110,7 @@
 		RetryBudget: s.retryBudget,
 		Sender:      d.Sender,
 		Demand:      &demandRecorder{server: s},
+		Guard:       s.guard,
 		Metrics:     dispatch.NewMetrics(s.registry),
 		Clock:       d.Clock,
 		Logger:      d.Logger,
--- a/pkg/cmd/serve/serve.go
+++ b/pkg/cmd/serve/serve.go
@@ -94,6 +94,7 @@
 		ReloadSignals: reloadSignals,
 		Source:        store,
 		Log:           store,
+		Quarantine:    store,
 		Sender:        client,
 		Orders:        client,
 		Pool:          pool,
