quarantine: delete records from the store that are no longer needed

Cause: the store keeps the newest record of each key for good, and a record that became obsolete while its holder ran stayed there. Change: the holder deletes it on the next round of its duties, once. Evidence: TestObsoleteRecordIsDeleted.

--- a/internal/promptguard/cluster_test.go
+++ b/internal/promptguard/cluster_test.go
@@ -90,6 +90,18 @@
 	require.Equal(t, 1, c.writes)
 }
 
+// A record that has not been needed for long is deleted from the store.
+func TestObsoleteRecordIsDeleted(t *testing.T) {
+	c := newCluster(t, 1)
+	c.convict("deadly")
+	c.clock.Advance(25 * time.Hour)
+	c.pass(time.Second)
+	require.Empty(t, c.stored)
+	require.Equal(t, 2, c.writes)
+	c.pass(time.Second)
+	require.Equal(t, 2, c.writes)
+}
+
 func TestAnswerReleasesSection(t *testing.T) {
 	c := newCluster(t, 3)
 	c.convict("sound")
--- a/internal/promptguard/persist.go
+++ b/internal/promptguard/persist.go
@@ -85,12 +85,20 @@
 	}
 }
 
-// renewSaved has the records saved that the store lacks, or that would expire too early there.
+// renewSaved has the records saved that the store lacks, or that would expire too early there, and those deleted that are no
+// longer needed.
 func (g *Guard) renewSaved(now time.Time) {
 	if !g.savedKnown {
 		return
 	}
-	for _, e := range g.list.Entries(now) {
+	entries := g.list.Entries(now)
+	for section := range g.saved {
+		if _, needed := g.list.Entry(section); !needed {
+			delete(g.saved, section)
+			g.markUnsaved(section)
+		}
+	}
+	for _, e := range entries {
 		stored, known := g.saved[e.Section]
 		lacks := !known || stored.Released() != e.Released()
 		if lacks || e.ActiveAt(now) && stored.Expiry().Sub(now) < e.Expiry().Sub(now)/2 {
