quarantine: tell connections that break off from crashes

Cause: a strike counted until its section was answered, and a runner's later registrations refuted it only after four seconds or more. An incarnation known to run on was never believed to crash later. Change: data that comes from the runner to the same VM between 0.4 s and 1 s after the break-off refutes the strike, at the lease holder too; so does a strike at the same incarnation more than three seconds later. Later strikes at such an incarnation count again.

--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -115,6 +115,16 @@
 	t.state(runner.ID).lastReceived = now
 }
 
+// LastReceived returns when data last came from a runner to this VM.
+func (t *Tracker) LastReceived(runner string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if state, known := t.runners[runner]; known {
+		return state.lastReceived
+	}
+	return time.Time{}
+}
+
 // silentFor returns how long nothing came from the runner, counted from sent at the earliest.
 func (t *Tracker) silentFor(runner *roster.Runner, sent, now time.Time) time.Duration {
 	t.mu.Lock()
--- a/internal/promptguard/cluster_test.go
+++ b/internal/promptguard/cluster_test.go
@@ -162,6 +162,31 @@
 	require.Zero(t, c.quarantined("sound"))
 }
 
+// A runner that goes on sending data on other connections has not crashed.
+func TestDataOfRunnerRefutesStrikes(t *testing.T) {
+	for name, test := range map[string]struct {
+		after time.Duration
+		want  int
+	}{
+		"sent before the crash":      {after: 300 * time.Millisecond, want: 2},
+		"sent later":                 {after: 600 * time.Millisecond},
+		"sent by a next incarnation": {after: 2 * time.Second, want: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 2)
+			for _, runner := range []string{"r1", "r2", "r3"} {
+				c.crash(c.vms[1], runner, "s")
+				c.clock.Advance(test.after)
+				c.received[runner] = c.clock.Now()
+				c.clock.Advance(100 * time.Millisecond)
+				c.vms[1].followOnce()
+				c.settle()
+			}
+			require.Equal(t, test.want, c.quarantined("s"))
+		})
+	}
+}
+
 // Records that were written by a faster clock, or are no longer needed, do no harm.
 func TestStoredRecordsOfOtherClocks(t *testing.T) {
 	c := newCluster(t, 1)
--- a/internal/promptguard/duties.go
+++ b/internal/promptguard/duties.go
@@ -13,21 +13,8 @@
 	tickInterval = time.Second
 	// requestReportInterval is the pause between two reports that requests with a section arrive.
 	requestReportInterval = time.Minute
-	// registrationLag is how long after its end a runner's registrations may still become visible, and crashMemory how long after
-	// a crash they are followed.
-	registrationLag = 4 * time.Second
-	crashMemory     = time.Minute
-	// pulsesAlive is the number of rounds with a newer registration that shows that a runner runs.
-	pulsesAlive = 2
 )
 
-// pulse follows the registrations of an incarnation with strikes.
-type pulse struct {
-	heartbeat uint64
-	// advances counts the rounds in which the heartbeat was newer than in the round before.
-	advances int
-}
-
 // tick runs the duties that depend on time until the context ends.
 func (g *Guard) tick(ctx context.Context) error {
 	for {
@@ -118,31 +105,3 @@
 	}
 	g.overruled = overruled
 }
-
-// findLiving finds incarnations that go on registering after a connection to them broke off.
-func (g *Guard) findLiving(now time.Time) {
-	crashed := g.detector.Crashed(now.Add(-crashMemory))
-	for incarnation, at := range crashed {
-		runner, registered := g.Roster().Runner(incarnation.Runner)
-		if !registered || runner.Incarnation != incarnation.Number || now.Sub(at) < registrationLag {
-			continue
-		}
-		known := g.pulses[incarnation]
-		if known == nil {
-			g.pulses[incarnation] = &pulse{heartbeat: runner.Heartbeat}
-			continue
-		}
-		if runner.Heartbeat > known.heartbeat {
-			known.heartbeat = runner.Heartbeat
-			known.advances++
-		}
-		if known.advances >= pulsesAlive {
-			g.release(g.detector.Alive(incarnation), reasonAlive, now)
-		}
-	}
-	for incarnation := range g.pulses {
-		if _, followed := crashed[incarnation]; !followed {
-			delete(g.pulses, incarnation)
-		}
-	}
-}
--- a/internal/promptguard/exchange.go
+++ b/internal/promptguard/exchange.go
@@ -54,6 +54,10 @@
 	for _, report := range e.Strikes {
 		g.strike(report.Strike(now), now)
 	}
+	for _, report := range e.Running {
+		incarnation, at := report.Running(now)
+		g.release(g.detector.Alive(incarnation, at), reasonAlive, now)
+	}
 	for _, section := range e.Requested {
 		g.list.Requested(section, now)
 	}
--- a/internal/promptguard/guard.go
+++ b/internal/promptguard/guard.go
@@ -44,19 +44,22 @@
 	Peers Peers
 	Store quarantine.Store
 	// Roster returns the known runners.
-	Roster  func() *roster.View
-	Metrics *Metrics
-	Clock   clockwork.Clock
-	Logger  *slog.Logger
+	Roster func() *roster.View
+	// LastReceived returns when data last came from a runner.
+	LastReceived func(runner string) time.Time
+	Metrics      *Metrics
+	Clock        clockwork.Clock
+	Logger       *slog.Logger
 }
 
 // Guard implements dispatch.SectionGuard; it is safe for concurrent use.
 type Guard struct {
 	Dependencies
 	view atomic.Pointer[view]
-	// wake requests a broadcast, saveWake a round of saving.
-	wake     chan struct{}
-	saveWake chan struct{}
+	// wake requests a broadcast, saveWake a round of saving, followWake rounds of following incarnations.
+	wake       chan struct{}
+	saveWake   chan struct{}
+	followWake chan struct{}
 	// loaded is closed once the stored records have been read; reload requests to read them again.
 	loaded chan struct{}
 	reload chan struct{}
@@ -88,6 +91,8 @@
 	saved   map[string]quarantine.Entry
 	// savedKnown is set once the stored records have been read since this VM got the lease.
 	savedKnown bool
+	// followed lists this VM's strikes at incarnations that may turn out to run on, the oldest first.
+	followed []quarantine.Strike
 	// pulses follow the heartbeats of incarnations with strikes.
 	pulses map[quarantine.Incarnation]*pulse
 }
@@ -98,6 +103,7 @@
 		Dependencies: d,
 		wake:         make(chan struct{}, 1),
 		saveWake:     make(chan struct{}, 1),
+		followWake:   make(chan struct{}, 1),
 		loaded:       make(chan struct{}),
 		reload:       make(chan struct{}, 1),
 		detector:     quarantine.NewDetector(),
@@ -117,7 +123,7 @@
 
 // Loops returns the background loops.
 func (g *Guard) Loops() []func(context.Context) error {
-	return []func(context.Context) error{g.publish, g.tick, g.load, g.save}
+	return []func(context.Context) error{g.publish, g.tick, g.follow, g.load, g.save}
 }
 
 // Quarantined implements dispatch.SectionGuard.
@@ -164,6 +170,8 @@
 	if len(g.recent) > maxRecentStrikes {
 		g.recent = slices.Delete(g.recent, 0, 1)
 	}
+	g.followed = append(g.followed, strike)
+	signal(g.followWake)
 	g.updateRole(now)
 	g.report(quarantine.Evidence{
 		Strikes: []quarantine.StrikeReport{quarantine.ReportStrike(strike, now)},
--- a/internal/promptguard/guard_test.go
+++ b/internal/promptguard/guard_test.go
@@ -32,9 +32,11 @@
 	t      *testing.T
 	clock  *clockwork.FakeClock
 	roster *roster.Roster
-	vms    []*vm
-	holder *vm
-	stored map[string]quarantine.Entry
+	// received holds when data last came from a runner, to any VM.
+	received map[string]time.Time
+	vms      []*vm
+	holder   *vm
+	stored   map[string]quarantine.Entry
 	// failures is the number of calls to the store that fail next, writes that of all writes.
 	failures int
 	writes   int
@@ -46,7 +48,9 @@
 		t:      t,
 		clock:  clockwork.NewFakeClock(),
 		roster: roster.New(),
-		stored: make(map[string]quarantine.Entry),
+
+		received: make(map[string]time.Time),
+		stored:   make(map[string]quarantine.Entry),
 	}
 	for range vms {
 		c.start()
@@ -62,12 +66,13 @@
 		metrics: prometheus.NewRegistry(),
 	}
 	v.Guard = New(Dependencies{
-		Peers:   v,
-		Store:   c,
-		Roster:  c.roster.View,
-		Metrics: NewMetrics(v.metrics),
-		Clock:   c.clock,
-		Logger:  slog.New(slog.DiscardHandler),
+		Peers:        v,
+		Store:        c,
+		Roster:       c.roster.View,
+		LastReceived: func(runner string) time.Time { return c.received[runner] },
+		Metrics:      NewMetrics(v.metrics),
+		Clock:        c.clock,
+		Logger:       slog.New(slog.DiscardHandler),
 	})
 	c.vms = append(c.vms, v)
 	v.read()
--- a/internal/promptguard/persist_test.go
+++ b/internal/promptguard/persist_test.go
@@ -80,12 +80,13 @@
 	}}
 	clock := clockwork.NewRealClock()
 	g := New(Dependencies{
-		Peers:   soleVM{},
-		Store:   store,
-		Roster:  roster.New().View,
-		Metrics: NewMetrics(prometheus.NewRegistry()),
-		Clock:   clock,
-		Logger:  slog.New(slog.DiscardHandler),
+		Peers:        soleVM{},
+		Store:        store,
+		Roster:       roster.New().View,
+		LastReceived: func(string) time.Time { return time.Time{} },
+		Metrics:      NewMetrics(prometheus.NewRegistry()),
+		Clock:        clock,
+		Logger:       slog.New(slog.DiscardHandler),
 	})
 	ctx, stop := context.WithCancel(t.Context())
 	loops, ctx := errgroup.WithContext(ctx)
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -10,6 +10,8 @@
 	// timingError bounds the error of the times in evidence of several VMs: the delay of a link, and the time until a VM notices
 	// that a connection broke off.
 	timingError = 250 * time.Millisecond
+	// crashSpan is the time between the first and the last strike of one crash at most: VMs may be slow to notice it.
+	crashSpan = 3 * time.Second
 	// strikeTTL is how long a strike counts.
 	strikeTTL = 10 * time.Minute
 	// maxSections, maxCrashes, maxStrikes and maxCrashSections bound the memory: the sections with evidence, the crashes, the
@@ -38,10 +40,13 @@
 	sections map[string]bool
 	// explained is set if a convicted section was pending.
 	explained bool
-	// alive is set if the incarnation turned out to run on.
-	alive bool
+	// aliveAt is until when the incarnation is known to have run.
+	aliveAt time.Time
 }
 
+// alive reports whether the incarnation ran on, so that there was no crash.
+func (c *crash) alive() bool { return c.aliveAt.After(c.at) }
+
 // conviction is the finding that a section crashes runners.
 type conviction struct {
 	at time.Time
@@ -61,9 +66,9 @@
 
 // Strike records a strike and returns the sections that it convicts, and those whose conviction is refuted by that.
 func (d *Detector) Strike(s Strike) (convicted, released []string) {
-	c := d.crashOf(s.Incarnation, s.At)
-	if c.alive {
-		return nil, nil
+	c, released := d.crashOf(s.Incarnation, s.At)
+	if !s.At.After(c.aliveAt) {
+		return nil, released
 	}
 	for _, section := range s.Sections {
 		if len(c.sections) < maxCrashSections {
@@ -79,9 +84,9 @@
 			d.suspicionOf(section).add(s, depth)
 		}
 	}
-	convicted, released = d.convict(s.At)
+	convicted, explained := d.convict(s.At)
 	evictOldest(d.sections, maxSections, func(s *suspicion) time.Time { return s.changedAt() })
-	return convicted, released
+	return convicted, append(released, explained...)
 }
 
 // Success records that an answer has begun and returns the sections whose conviction it refutes.
@@ -101,14 +106,14 @@
 	return released
 }
 
-// Alive records that an incarnation runs on after a connection to it broke off, so that no section crashed it. It returns the
-// sections whose conviction this refutes.
-func (d *Detector) Alive(incarnation Incarnation) (released []string) {
+// Alive records that an incarnation ran at a time after a connection to it had broken off, so that no section had crashed it. It
+// returns the sections whose conviction this refutes.
+func (d *Detector) Alive(incarnation Incarnation, at time.Time) (released []string) {
 	c := d.crashes[incarnation]
-	if c == nil || c.alive {
+	if c == nil || c.alive() || !at.After(c.at) {
 		return nil
 	}
-	c.alive = true
+	c.aliveAt = at
 	for section := range c.sections {
 		suspected := d.sections[section]
 		if suspected == nil {
@@ -194,7 +199,7 @@
 func (d *Detector) Crashed(since time.Time) map[Incarnation]time.Time {
 	crashed := make(map[Incarnation]time.Time)
 	for incarnation, c := range d.crashes {
-		if !c.alive && c.at.After(since) {
+		if !c.alive() && c.at.After(since) {
 			crashed[incarnation] = c.at
 		}
 	}
@@ -210,17 +215,26 @@
 	return suspected
 }
 
-func (d *Detector) crashOf(incarnation Incarnation, at time.Time) *crash {
-	c := d.crashes[incarnation]
-	if c == nil {
-		c = &crash{
-			at:       at,
-			sections: make(map[string]bool),
-		}
-		d.crashes[incarnation] = c
-		evictOldest(d.crashes, maxCrashes, func(c *crash) time.Time { return c.at })
+// crashOf returns the crash of an incarnation to which a strike belongs. If there was an earlier one, the incarnation ran on
+// after it; the sections whose conviction this refutes are returned.
+func (d *Detector) crashOf(incarnation Incarnation, at time.Time) (c *crash, released []string) {
+	c = d.crashes[incarnation]
+	if c != nil && at.After(c.at.Add(crashSpan)) {
+		released = d.Alive(incarnation, c.at.Add(crashSpan))
+	}
+	if c != nil && (!c.alive() || !at.After(c.aliveAt)) {
+		return c, released
+	}
+	next := &crash{
+		at:       at,
+		sections: make(map[string]bool),
+	}
+	if c != nil {
+		next.aliveAt = c.aliveAt
 	}
-	return c
+	d.crashes[incarnation] = next
+	evictOldest(d.crashes, maxCrashes, func(c *crash) time.Time { return c.at })
+	return next, released
 }
 
 // evictOldest deletes the oldest entries of a map until it has at most limit.
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -8,6 +8,8 @@
 type Evidence struct {
 	Strikes   []StrikeReport  `cbor:",omitempty"`
 	Successes []SuccessReport `cbor:",omitempty"`
+	// Running lists incarnations that sent data after a connection to them had broken off.
+	Running []RunningReport `cbor:",omitempty"`
 	// Requested lists sections in quarantine with which requests have arrived.
 	Requested []string `cbor:",omitempty"`
 	// Entries lists the records that the VM has, when it opens a link.
@@ -41,6 +43,14 @@
 	Age      time.Duration
 }
 
+// RunningReport says when an incarnation last ran for certain, as it is sent to another VM.
+type RunningReport struct {
+	_           struct{} `cbor:",toarray"`
+	Runner      string
+	Incarnation int64
+	Age         time.Duration
+}
+
 // EntryReport is a record as it is sent to another VM.
 type EntryReport struct {
 	_            struct{} `cbor:",toarray"`
@@ -95,6 +105,24 @@
 	}
 }
 
+// ReportRunning returns the report that an incarnation ran at a time, sent now.
+func ReportRunning(incarnation Incarnation, at, now time.Time) RunningReport {
+	return RunningReport{
+		Runner:      incarnation.Runner,
+		Incarnation: incarnation.Number,
+		Age:         now.Sub(at),
+	}
+}
+
+// Running returns the incarnation of a report that arrived now, and when it ran.
+func (r RunningReport) Running(now time.Time) (Incarnation, time.Time) {
+	incarnation := Incarnation{
+		Runner: r.Runner,
+		Number: r.Incarnation,
+	}
+	return incarnation, now.Add(-max(r.Age, 0))
+}
+
 // ReportEntries returns the reports of records that are sent now.
 func ReportEntries(entries []Entry, now time.Time) []EntryReport {
 	reports := make([]EntryReport, 0, len(entries))
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -139,7 +139,7 @@
 // pendingAt reports whether a section may have caused the crash of an incarnation.
 func (d *Detector) pendingAt(section string, incarnation Incarnation) bool {
 	c := d.crashes[incarnation]
-	return c != nil && !c.explained && !c.alive && c.sections[section] && c.at.After(d.sections[section].soundAt)
+	return c != nil && !c.explained && !c.alive() && c.sections[section] && c.at.After(d.sections[section].soundAt)
 }
 
 func (d *Detector) sentence(section string, c conviction) {
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -95,12 +95,13 @@
 		ChangeWithin: d.Settings.Control.ChangeWithin(),
 	}, d.Clock, d.Logger)
 	s.guard = promptguard.New(promptguard.Dependencies{
-		Peers:   &guardPeers{server: s},
-		Store:   d.Quarantine,
-		Roster:  s.roster.View,
-		Metrics: promptguard.NewMetrics(s.registry),
-		Clock:   d.Clock,
-		Logger:  d.Logger,
+		Peers:        &guardPeers{server: s},
+		Store:        d.Quarantine,
+		Roster:       s.roster.View,
+		LastReceived: s.tracker.LastReceived,
+		Metrics:      promptguard.NewMetrics(s.registry),
+		Clock:        d.Clock,
+		Logger:       d.Logger,
 	})
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
 		Catalog:     s.catalog.Current,
