registry: a complete list with an unreadable record doesn't remove its runner

What callers saw: 503 from VMs that had read the whole list again (after the log had expired, a pause or a new link) while the newest record of a sound runner was unreadable; VMs that followed the log kept the runner. Cause: a complete list has only the newest record of each key. The runner whose record was skipped was missing from it, and Replace took it for gone, and the lease holder forwarded its removal. Evidence, on the code before: --- FAIL: TestUnreadableRecordDoesNotRemoveRunner Error: Not equal: expected: int(1) actual: uint64(0x0) Messages: the readable registration stays in effect --- FAIL: TestRunnerWithUnreadableEntryStaysInUse Error: Condition never satisfied Change: runners that are known and whose records were skipped count as listed; a later registration or removal takes effect as before. The fake source of the watcher's tests can now skip records and expire the log of registrations.

--- a/internal/registry/runners.go
+++ b/internal/registry/runners.go
@@ -63,7 +63,7 @@
 	if incremental {
 		updates = w.roster.Apply(read.Changes, now)
 	} else {
-		updates = w.roster.Replace(runnersOf(read.Changes), now)
+		updates = w.roster.Replace(append(runnersOf(read.Changes), w.knownRunners(read.Skipped)...), now)
 	}
 	w.recordUpdates(updates)
 	w.forward(updates)
@@ -72,6 +72,18 @@
 	w.updateRunnersComplete(now)
 }
 
+// knownRunners returns the runners whose newest records can't be read: their last readable registrations stay in effect.
+func (w *Watcher) knownRunners(skipped []SkippedRecord) []*roster.Runner {
+	var known []*roster.Runner
+	view := w.roster.View()
+	for _, record := range skipped {
+		if runner, ok := view.Runner(record.Key); ok {
+			known = append(known, runner)
+		}
+	}
+	return known
+}
+
 // applyDeferredRemovals removes the runners whose removal was deferred after a store outage and is due.
 func (w *Watcher) applyDeferredRemovals() {
 	updates := w.roster.ApplyDeferredRemovals(w.clock.Now())
--- a/internal/registry/watcher_test.go
+++ b/internal/registry/watcher_test.go
@@ -31,6 +31,7 @@
 	down               bool
 	expired            bool
 	changes            []roster.Change
+	skipped            []registry.SkippedRecord
 	waits              []time.Duration
 	configurationReads int
 	fullReads          int
@@ -98,7 +99,7 @@
 	if s.down {
 		return registry.Runners{}, errDown
 	}
-	return registry.Runners{Changes: s.changes}, nil
+	return registry.Runners{Changes: s.changes, Skipped: s.skipped}, nil
 }
 
 func (s *fakeSource) RunnersAfter(_ context.Context, from logservice.Offset, _ time.Duration) (registry.Runners, error) {
@@ -108,6 +109,10 @@
 		s.failedReads++
 		return registry.Runners{}, errDown
 	}
+	if s.expired {
+		s.expired = false
+		return registry.Runners{}, &logservice.ExpiredError{From: from}
+	}
 	s.incrementalReads++
 	result := registry.Runners{Changes: s.changes, Next: from + 1}
 	s.changes = nil
