outbound: a response is believed only if it certainly belongs to the request

What callers saw: "not run, try again" (503, 429 or 421) for requests that a runner had run or was running, or a second run of such a request at the next runner, after a faulty runner had written an earlier refusal once more on a kept connection. Cause: a response without an ID was taken for the answer to whatever request was sent last, on any connection; and a refusal with the ID of a request was taken for the answer when the same request came again on that connection. Change: the first response on a new connection may lack the ID, as there is nothing to repeat; on a connection in use again, only one with the ID counts. After one without it, the right one is awaited for two seconds, then the request may have run. A connection does not get a request whose ID it has answered among its latest 64, and is not kept after a response that was not its request's, or that lacked the ID. At the limit of connections, a new one replaces an idle one that can't be used. TestBodyMayExceedHeadLimit sent two requests with the same ID and required one connection; they now have different IDs, and it still requires one. Not covered: a copy that is cut short, so that the next response reads as its body; such a request gets no answer until its time is over, and no promise.

--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -3,12 +3,17 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-const readBufferBytes = 4 << 10
+const (
+	readBufferBytes = 4 << 10
+	// maxRecentIDs is how many requests a connection remembers.
+	maxRecentIDs = 64
+)
 
 // conn is a connection to an endpoint, used by one request at a time.
 type conn struct {
@@ -24,6 +29,11 @@
 	pendingWrites atomic.Int32
 	writeFailed   atomic.Bool
 	onClose       func()
+	// used is set once a request got its response. recentIDs are the IDs of the latest requests that did.
+	used      bool
+	recentIDs []string
+	// mismatched is set once a response was not taken for a request's own, or the next one could not be told from a copy.
+	mismatched bool
 }
 
 func newConn(socket net.Conn, onClose func()) *conn {
@@ -47,6 +57,30 @@
 	}
 }
 
+// fresh reports whether no response has been received on the connection, so that none can be repeated.
+func (c *conn) fresh() bool { return !c.used && !c.mismatched }
+
+// recordResponse records that a request got its response; each ID is empty if there is none.
+func (c *conn) recordResponse(requestID, responseID string) {
+	c.used = true
+	if requestID == "" {
+		return
+	}
+	if len(c.recentIDs) == maxRecentIDs {
+		c.recentIDs = append(c.recentIDs[:0], c.recentIDs[1:]...)
+	}
+	c.recentIDs = append(c.recentIDs, requestID)
+	// The endpoint leaves out IDs, so its next response could not be told from a copy of this one.
+	if responseID == "" {
+		c.mismatched = true
+	}
+}
+
+// suits reports whether a response to the target's request can be told from copies of earlier responses on the connection.
+func (c *conn) suits(target Target) bool {
+	return target.RequestID == "" || !slices.Contains(c.recentIDs, target.RequestID)
+}
+
 // usable reports whether an idle connection is still open and has no unexpected data to be read.
 func (c *conn) usable() bool {
 	if c.closed.Load() || c.reader.Buffered() > 0 {
--- a/internal/outbound/endless_test.go
+++ b/internal/outbound/endless_test.go
@@ -113,8 +113,8 @@
 		}
 	})
 	p := newPool()
-	for range 2 {
-		body, err := sendAndRead(t, p, s, "1")
+	for _, id := range []string{"1", "2"} {
+		body, err := sendAndRead(t, p, s, id)
 		require.NoError(t, err)
 		require.Equal(t, want, body)
 	}
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -98,10 +99,10 @@
 	return p.opened
 }
 
-// acquire returns an idle connection or opens a new one; maxConnections limits the open ones, and 0 means no limit.
-func (p *Pool) acquire(ctx context.Context, address string, maxConnections int) (*conn, error) {
+// acquire returns an idle connection that suits the target or opens a new one; the target's MaxConnections limits the open ones.
+func (p *Pool) acquire(ctx context.Context, target Target) (*conn, error) {
 	for {
-		c, err := p.takeIdle(address, maxConnections)
+		c, err := p.takeIdle(target)
 		if err != nil {
 			return nil, err
 		}
@@ -113,6 +114,7 @@
 		}
 		c.close()
 	}
+	address := target.Address
 	socket, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.releaseSlot(address)
@@ -124,29 +126,38 @@
 	return newConn(socket, func() { p.releaseSlot(address) }), nil
 }
 
-// takeIdle returns the most recently used idle connection, or nil after it has counted a new connection as open.
-func (p *Pool) takeIdle(address string, maxConnections int) (*conn, error) {
+// takeIdle returns the most recently used idle connection that suits the target, or nil after it has counted a new connection as
+// open. At the limit, a new one replaces an idle one.
+func (p *Pool) takeIdle(target Target) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h, ok := p.hosts[address]
+	h, ok := p.hosts[target.Address]
 	if !ok {
 		h = &hostConns{}
-		p.hosts[address] = h
+		p.hosts[target.Address] = h
 	}
 	now := p.clock.Now()
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
-		h.idle = h.idle[:len(h.idle)-1]
-		if now.Sub(c.idleSince) < c.idleTimeout {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		c := h.idle[i]
+		expired := now.Sub(c.idleSince) >= c.idleTimeout
+		if !expired && !c.suits(target) {
+			continue
+		}
+		h.idle = slices.Delete(h.idle, i, i+1)
+		if !expired {
 			return c, nil
 		}
 		go c.close()
 	}
-	if maxConnections > 0 && h.open >= maxConnections {
-		return nil, &ConnectionLimitError{
-			Address: address,
-			Limit:   maxConnections,
+	if target.MaxConnections > 0 && h.open >= target.MaxConnections {
+		if len(h.idle) == 0 {
+			return nil, &ConnectionLimitError{
+				Address: target.Address,
+				Limit:   target.MaxConnections,
+			}
 		}
+		go h.idle[0].close()
+		h.idle = slices.Delete(h.idle, 0, 1)
 	}
 	h.open++
 	p.opened++
--- a/internal/outbound/pool_test.go
+++ b/internal/outbound/pool_test.go
@@ -74,8 +74,9 @@
 
 func newTarget(s *fakeEndpoint, id string) outbound.Target {
 	return outbound.Target{
-		Address: s.listener.Addr().String(),
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		Address:    s.listener.Addr().String(),
+		ResponseID: func(h http.Header) string { return h.Get("Id") },
+		RequestID:  id,
 	}
 }
 
--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -66,7 +66,7 @@
 }
 
 func (r *Response) canReuse() bool {
-	return !r.response.Close && r.conn.reader.Buffered() == 0 && r.conn.pendingWrites.Load() == 0 &&
+	return !r.response.Close && !r.conn.mismatched && r.conn.reader.Buffered() == 0 && r.conn.pendingWrites.Load() == 0 &&
 		!r.conn.writeFailed.Load() && !r.closeDelimited()
 }
 
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -13,6 +13,9 @@
 const (
 	// maxMismatched is how many responses to other requests are read on a connection before it is closed.
 	maxMismatched = 3
+	// unidentifiedWait is how long a response is awaited after one without an ID on a connection in use again. A copy of an
+	// earlier response is followed by the right one; an endpoint that leaves out the ID sends nothing more.
+	unidentifiedWait = 2 * time.Second
 	// syncWriteBytes is how much of a request is written before its response is read; the rest is written concurrently.
 	syncWriteBytes = 16 << 10
 )
@@ -22,15 +25,18 @@
 	Address string
 	// MaxConnections limits this VM's connections to the address; 0 means no limit.
 	MaxConnections int
-	// Matches reports whether a response with this header belongs to the request; if it is nil, every response does.
-	Matches func(http.Header) bool
+	// ResponseID returns the ID of the request to which a response with this header belongs, or an empty string if it has none; if
+	// ResponseID is nil, every response on a connection belongs to the request that was sent last.
+	ResponseID func(http.Header) string
+	// RequestID is the ID of the request, or empty if the responses to it have none.
+	RequestID string
 }
 
 // Send sends a request once and returns its response as soon as the header was read. It fails with endpoint.NotSentError or
 // ConnectionLimitError if no byte was written, and with endpoint.NoResponseError if the request may have run. It closes the
 // connection when ctx ends.
 func (p *Pool) Send(ctx context.Context, target Target, request Request) (*Response, error) {
-	c, err := p.acquire(ctx, target.Address, target.MaxConnections)
+	c, err := p.acquire(ctx, target)
 	if err != nil {
 		return nil, err
 	}
@@ -89,17 +95,27 @@
 	return n, nil
 }
 
-// readResponse reads responses, up to maxMismatched, until one belongs to the request. It fails with HeadTooLargeError if a
-// header, with the interim responses before it, exceeds the limit.
+// readResponse reads responses, up to maxMismatched, until one certainly belongs to the request. It fails with HeadTooLargeError if
+// a header, with the interim responses before it, exceeds the limit.
 func (p *Pool) readResponse(c *conn, target Target, request Request) (*http.Response, error) {
 	for range maxMismatched {
 		response, err := readFinalResponse(c, request)
 		if err != nil {
 			return nil, err
 		}
-		if target.Matches == nil || target.Matches(response.Header) {
+		if target.ResponseID == nil {
 			return response, nil
 		}
+		id := target.ResponseID(response.Header)
+		if id == target.RequestID || (id == "" && c.fresh()) {
+			c.recordResponse(target.RequestID, id)
+			return response, nil
+		}
+		c.mismatched = true
+		if id == "" {
+			timer := p.clock.AfterFunc(unidentifiedWait, c.close)
+			defer timer.Stop()
+		}
 		if err := discard(response); err != nil {
 			return nil, err
 		}
