platform: the result of an earlier order is not taken for the next one's

What it led to: an order that was declined counted as accepted, or the order lease was given up because of an old 412, after a faulty runner had written the result of an earlier order once more. The next report or conflict corrected the former. Cause: responses to orders have no ID, so copies of earlier ones can't be told apart on a kept connection. Reports are still read on any connection: a copy of one is little older than a report may be. How many more connections this opens was not measured.

--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -32,8 +32,9 @@
 	// used is set once a request got its response. recentIDs are the IDs of the latest requests that did.
 	used      bool
 	recentIDs []string
-	// mismatched is set once a response was not taken for a request's own, or the next one could not be told from a copy.
-	mismatched bool
+	// unidentified is set once a response without an ID was taken for a request's own, mismatched once one was not.
+	unidentified bool
+	mismatched   bool
 }
 
 func newConn(socket net.Conn, onClose func()) *conn {
@@ -63,6 +64,9 @@
 // recordResponse records that a request got its response; each ID is empty if there is none.
 func (c *conn) recordResponse(requestID, responseID string) {
 	c.used = true
+	if responseID == "" {
+		c.unidentified = true
+	}
 	if requestID == "" {
 		return
 	}
@@ -78,6 +82,9 @@
 
 // suits reports whether a response to the target's request can be told from copies of earlier responses on the connection.
 func (c *conn) suits(target Target) bool {
+	if target.Unambiguous && c.unidentified {
+		return false
+	}
 	return target.RequestID == "" || !slices.Contains(c.recentIDs, target.RequestID)
 }
 
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -30,6 +30,8 @@
 	ResponseID func(http.Header) string
 	// RequestID is the ID of the request, or empty if the responses to it have none.
 	RequestID string
+	// Unambiguous demands a connection on which no response without an ID has been received.
+	Unambiguous bool
 }
 
 // Send sends a request once and returns its response as soon as the header was read. It fails with endpoint.NotSentError or
