dispatch, platform: tests of streams that go on with what is no continuation

What callers see: after a stream broke off, the next runner's 200 with another content type, with an error page or a whole head in its body, or with the events from the start is passed on in the middle of the stream, and a 204 or a 200 without an event ends the stream as if it were complete. Cause: relayStream takes every 2xx response for the continuation once the response has started.

--- a/internal/dispatch/resume_error_test.go
+++ b/internal/dispatch/resume_error_test.go
@@ -38,14 +38,23 @@
 
 // unusableContinuations are responses of the next runner that don't continue a stream after event 2.
 var unusableContinuations = map[string]reply{
-	"500":                     respondTyped(http.StatusInternalServerError, "text/plain", nil, "boom\n\n"),
-	"500 as events":           respondTyped(http.StatusInternalServerError, eventStream, nil, "id: 3\ndata: error\n\n"),
-	"503 without a statement": respondTyped(http.StatusServiceUnavailable, "text/plain", nil, "busy\n\n"),
-	"503 declined":            decline(http.StatusServiceUnavailable),
-	"421 declined":            decline(http.StatusMisdirectedRequest),
-	"404":                     respondTyped(http.StatusNotFound, "text/plain", nil, "no such path\n\n"),
-	"400":                     respondTyped(http.StatusBadRequest, "application/json", nil, "{\"error\":1}\n\n"),
-	"302":                     respondTyped(http.StatusFound, "text/html", nil, "<a>moved</a>\n\n"),
+	"500":                         respondTyped(http.StatusInternalServerError, "text/plain", nil, "boom\n\n"),
+	"500 as events":               respondTyped(http.StatusInternalServerError, eventStream, nil, "id: 3\ndata: error\n\n"),
+	"503 without a statement":     respondTyped(http.StatusServiceUnavailable, "text/plain", nil, "busy\n\n"),
+	"503 declined":                decline(http.StatusServiceUnavailable),
+	"421 declined":                decline(http.StatusMisdirectedRequest),
+	"404":                         respondTyped(http.StatusNotFound, "text/plain", nil, "no such path\n\n"),
+	"400":                         respondTyped(http.StatusBadRequest, "application/json", nil, "{\"error\":1}\n\n"),
+	"302":                         respondTyped(http.StatusFound, "text/html", nil, "<a>moved</a>\n\n"),
+	"204":                         respondTyped(http.StatusNoContent, "", nil),
+	"200 with JSON":               respondTyped(http.StatusOK, "application/json", nil, "{\"error\":\"x\"}\n\n{}\n\n"),
+	"200 with text":               respondTyped(http.StatusOK, "text/plain; charset=utf-8", nil, "error\n\n"),
+	"200 without a type":          respondTyped(http.StatusOK, "", nil, "error\n\n"),
+	"200 with a head in its body": respondTyped(http.StatusOK, "text/plain", nil, "HTTP/1.1 500 Error\r\nContent-Length: 4\r\n\r\nboom"),
+	"200 without an event":        respondTyped(http.StatusOK, eventStream, nil),
+	"200 with blank lines only":   respondTyped(http.StatusOK, eventStream, nil, "\n\n\n\n"),
+	"200 with the last event":     respondTyped(http.StatusOK, eventStream, nil, "id: 2\ndata: b\n\n"),
+	"200 from the start":          respondTyped(http.StatusOK, eventStream, nil, "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"),
 }
 
 // A stream that broke off must not go on with anything but the events after the last one, nor look complete without them.
