dispatch: close the connection of a caller that ended its side of it

A caller that ended its side of the connection after its request got '200 OK' with no body, though no runner had sent that, and within a stream the end of a whole one. The request was canceled as if the caller had left, nothing was written, and net/http then completed the response on its own.

TestHalfClosedConnectionGetsNoInventedResponse fails in both cases on the code before. The connection is now closed without a response; a caller that is gone sees no difference. Found while looking for other ways in which requests end without an answer.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -165,6 +165,8 @@
 func (c *call) handleCancel(ctx context.Context) *refusal.Refusal {
 	if !errors.Is(context.Cause(ctx), errDeadline) {
 		c.outcome = Left
+		// A caller that only ended its side of the connection must not take what it got for a whole response.
+		c.caller.Abort()
 		return nil
 	}
 	refused := refusal.New(http.StatusGatewayTimeout, refusal.TooLate, errDeadline.Cause)
