quarantine: a new lease holder awaits the answers that VMs know

What callers saw: nothing yet; in the simulation with real guards, sections that all requests share were put in quarantine after the holder had been replaced, and nine of ten sound requests were refused. Cause: a new holder gets the recent strikes of all VMs over the new links, but not the answers since then, which were not reported because nobody watched those sections. A holder judges old strikes only 0.7 s later, a new one after 1.2 s.

--- a/internal/promptguard/cluster_test.go
+++ b/internal/promptguard/cluster_test.go
@@ -21,6 +21,8 @@
 	v.cutOff = false
 	c.link(v)
 	c.settle()
+	require.Equal(t, 1, c.quarantined("deadly"), "the holder awaits answers that other VMs know")
+	c.pass(time.Second)
 	require.Equal(t, 2, c.quarantined("deadly"), "the holder gets the evidence over the new link")
 }
 
@@ -70,6 +72,7 @@
 	c.crash(c.vms[2], "r2", "deadly")
 	c.vms = c.vms[1:]
 	c.elect(c.vms[0])
+	c.pass(time.Second)
 	c.crash(c.vms[1], "r3", "deadly")
 	require.Equal(t, 2, c.quarantined("deadly"))
 }
--- a/internal/promptguard/duties.go
+++ b/internal/promptguard/duties.go
@@ -40,6 +40,7 @@
 	case linked:
 		g.dropOverruled(now)
 	}
+	g.sounds.expire(now)
 	for section, at := range g.reportedAt {
 		if now.Sub(at) > requestReportInterval {
 			delete(g.reportedAt, section)
--- a/internal/promptguard/exchange.go
+++ b/internal/promptguard/exchange.go
@@ -14,6 +14,11 @@
 	// batchDelay is how long changes are collected before they are broadcast, and broadcastInterval the pause after a broadcast.
 	batchDelay        = 20 * time.Millisecond
 	broadcastInterval = 80 * time.Millisecond
+	// oldEvidence is the age beyond which strikes are judged only after replayDelay, in which answers that clear their sections
+	// arrive. takeoverDelay is the same for a new lease holder, to which the VMs have to open links first.
+	oldEvidence   = 500 * time.Millisecond
+	replayDelay   = 700 * time.Millisecond
+	takeoverDelay = 1200 * time.Millisecond
 	// requestedStep is how much later the last request with a section must be for its record to be broadcast again.
 	requestedStep = 2 * time.Minute
 )
@@ -30,7 +35,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
-	e := quarantine.Evidence{Entries: quarantine.ReportEntries(g.list.Entries(now), now)}
+	e := quarantine.Evidence{
+		Sound:   g.sounds.ages(g.sounds.newest(), now),
+		Entries: quarantine.ReportEntries(g.list.Entries(now), now),
+	}
 	for _, strike := range g.recent {
 		if now.Sub(strike.At) <= recentTTL || slices.ContainsFunc(strike.Sections, g.detector.Convicted) {
 			e.Strikes = append(e.Strikes, quarantine.ReportStrike(strike, now))
@@ -51,9 +59,15 @@
 	for _, report := range e.Successes {
 		g.release(g.detector.Success(report.Success(now)), reasonAnswered, now)
 	}
+	g.recordSound(e.Sound, now)
+	g.judge(now)
 	for _, report := range e.Strikes {
-		g.strike(report.Strike(now), now)
+		if report.Age > oldEvidence && !now.Before(g.judgeAt) {
+			g.deferJudgment(replayDelay, now)
+		}
+		g.record(report.Strike(now), now)
 	}
+	g.judge(now)
 	for _, report := range e.Running {
 		incarnation, at := report.Running(now)
 		g.release(g.detector.Alive(incarnation, at), reasonAlive, now)
@@ -84,6 +98,7 @@
 	now := g.Clock.Now()
 	g.holderLink, _ = g.Peers.LinkedToHolder()
 	g.updateRole(now)
+	g.reportKnownSound(s.Watched, now)
 	g.fromHolder = s
 	for _, report := range s.Entries {
 		g.merge(report.Entry(now), now)
@@ -91,6 +106,15 @@
 	g.refresh(now)
 }
 
+// reportKnownSound reports what this VM remembers of sections that are watched from now on.
+func (g *Guard) reportKnownSound(watched []string, now time.Time) {
+	before := setOf(g.fromHolder.Watched)
+	added := slices.DeleteFunc(slices.Clone(watched), func(section string) bool { return before[section] })
+	if ages := g.sounds.ages(added, now); len(ages) > 0 {
+		g.report(quarantine.Evidence{Sound: ages})
+	}
+}
+
 // publish applies and broadcasts changes until the context ends.
 func (g *Guard) publish(ctx context.Context) error {
 	for {
@@ -114,6 +138,7 @@
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	g.updateRole(now)
+	g.judge(now)
 	g.refresh(now)
 	if g.role != holder {
 		return false
--- a/internal/promptguard/guard.go
+++ b/internal/promptguard/guard.go
@@ -55,7 +55,8 @@
 // Guard implements dispatch.SectionGuard; it is safe for concurrent use.
 type Guard struct {
 	Dependencies
-	view atomic.Pointer[view]
+	view   atomic.Pointer[view]
+	sounds sounds
 	// wake requests a broadcast, saveWake a round of saving, followWake rounds of following incarnations.
 	wake       chan struct{}
 	saveWake   chan struct{}
@@ -71,6 +72,8 @@
 	fromHolder quarantine.Status
 	holderLink uint64
 	role       role
+	// judgeAt is when the lease holder next judges; before that, it awaits answers that other VMs know.
+	judgeAt time.Time
 	// recent holds this VM's newest strikes.
 	recent []quarantine.Strike
 	// reportedAt is when a success or request of a section was last reported.
@@ -117,6 +120,7 @@
 		saved:        make(map[string]quarantine.Entry),
 		pulses:       make(map[quarantine.Incarnation]*pulse),
 	}
+	g.sounds.at = make(map[string]time.Time)
 	g.view.Store(&view{})
 	return g
 }
@@ -176,27 +180,29 @@
 	g.report(quarantine.Evidence{
 		Strikes: []quarantine.StrikeReport{quarantine.ReportStrike(strike, now)},
 	})
-	g.strike(strike, now)
+	g.record(strike, now)
+	g.judge(now)
 	g.refresh(now)
 	signal(g.wake)
 }
 
 // RecordSound implements dispatch.SectionGuard.
 func (g *Guard) RecordSound(sections []dispatch.PromptSection, sentAt, now time.Time) {
+	success := quarantine.Success{
+		Sections: trackedIDs(sections),
+		SentAt:   sentAt,
+		At:       now,
+	}
+	g.sounds.record(success.Sections, success.SoundAt())
 	v := g.view.Load()
-	if !slices.ContainsFunc(shared(sections), func(s dispatch.PromptSection) bool { return v.matters(s.ID) }) {
+	if !slices.ContainsFunc(success.Sections, v.matters) {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.reportDue(trackedIDs(sections), v, now) {
+	if !g.reportDue(success.Sections, v, now) {
 		return
 	}
-	success := quarantine.Success{
-		Sections: trackedIDs(sections),
-		SentAt:   sentAt,
-		At:       now,
-	}
 	g.updateRole(now)
 	g.report(quarantine.Evidence{
 		Successes: []quarantine.SuccessReport{quarantine.ReportSuccess(success, now)},
--- a/internal/promptguard/guard_test.go
+++ b/internal/promptguard/guard_test.go
@@ -41,6 +41,8 @@
 	failures int
 	writes   int
 	sent     int
+	// queue holds the frames on the links.
+	queue []func()
 }
 
 func newCluster(t *testing.T, vms int) *fakeCluster {
@@ -108,8 +110,19 @@
 	c.holder.ReceiveEvidence(v.Evidence())
 }
 
+// deliver delivers the frames on the links.
+func (c *fakeCluster) deliver() {
+	for len(c.queue) > 0 {
+		next := c.queue[0]
+		c.queue = c.queue[1:]
+		next()
+	}
+}
+
 // settle has the VMs do what their loops do.
 func (c *fakeCluster) settle() {
+	c.deliver()
+	defer c.deliver()
 	for _, v := range c.vms {
 		v.publishOnce()
 		for section, ok := v.nextUnsaved(); ok; section, ok = v.nextUnsaved() {
@@ -137,14 +150,14 @@
 func (v *vm) SendEvidence(e quarantine.Evidence) {
 	if _, linked := v.LinkedToHolder(); linked {
 		v.cluster.sent++
-		v.cluster.holder.ReceiveEvidence(e)
+		v.cluster.queue = append(v.cluster.queue, func() { v.cluster.holder.ReceiveEvidence(e) })
 	}
 }
 
 func (v *vm) BroadcastQuarantine(s quarantine.Status) {
 	for _, other := range v.cluster.vms {
 		if other != v && !other.cutOff {
-			other.ReceiveStatus(s)
+			v.cluster.queue = append(v.cluster.queue, func() { other.ReceiveStatus(s) })
 		}
 	}
 }
--- a/internal/promptguard/verdicts.go
+++ b/internal/promptguard/verdicts.go
@@ -44,19 +44,44 @@
 		g.fromHolder = quarantine.Status{}
 		g.sent, g.sentEntries = "", nil
 		g.savedKnown = false
+		g.deferJudgment(takeoverDelay, now)
 		g.convict(g.detector.Convictions(), now)
 		signal(g.reload)
 		signal(g.wake)
 	}
 }
 
-// strike passes a strike to the detector and applies its verdicts.
-func (g *Guard) strike(s quarantine.Strike, now time.Time) {
-	convicted, released := g.detector.Strike(s)
+// record passes a strike to the detector, with what this VM knows of the sections.
+func (g *Guard) record(s quarantine.Strike, now time.Time) {
+	g.release(g.detector.Record(s), reasonAlive, now)
+	g.recordSound(g.sounds.ages(s.Sections, now), now)
+}
+
+// recordSound records how long ago sections were sound.
+func (g *Guard) recordSound(ages map[string]time.Duration, now time.Time) {
+	for section, age := range ages {
+		if trackable(section) && g.detector.Sound(section, now.Add(-max(age, 0))) {
+			g.release([]string{section}, reasonAnswered, now)
+		}
+	}
+}
+
+// judge applies the detector's verdicts unless they are deferred.
+func (g *Guard) judge(now time.Time) {
+	if now.Before(g.judgeAt) {
+		return
+	}
+	convicted, released := g.detector.Judge(now)
 	g.release(released, reasonAnswered, now)
 	g.convict(convicted, now)
 }
 
+// deferJudgment has the next verdicts await what other VMs know.
+func (g *Guard) deferJudgment(d time.Duration, now time.Time) {
+	g.judgeAt = now.Add(d)
+	g.Clock.AfterFunc(d, func() { signal(g.wake) })
+}
+
 // convict puts convicted sections in quarantine: for all VMs if this one holds the lease, or only here if it is alone.
 func (g *Guard) convict(sections []string, now time.Time) {
 	for _, section := range sections {
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -64,11 +64,11 @@
 	}
 }
 
-// Strike records a strike and returns the sections that it convicts, and those whose conviction is refuted by that.
-func (d *Detector) Strike(s Strike) (convicted, released []string) {
+// Record records a strike, for the next judgment. It returns the sections whose conviction is refuted by that.
+func (d *Detector) Record(s Strike) (released []string) {
 	c, released := d.crashOf(s.Incarnation, s.At)
 	if !s.At.After(c.aliveAt) {
-		return nil, released
+		return released
 	}
 	for _, section := range s.Sections {
 		if len(c.sections) < maxCrashSections {
@@ -84,28 +84,36 @@
 			d.suspicionOf(section).add(s, depth)
 		}
 	}
-	convicted, explained := d.convict(s.At)
-	evictOldest(d.sections, maxSections, func(s *suspicion) time.Time { return s.changedAt() })
-	return convicted, append(released, explained...)
+	d.evictSections()
+	return released
 }
 
 // Success records that an answer has begun and returns the sections whose conviction it refutes.
 func (d *Detector) Success(s Success) (released []string) {
-	soundAt := s.soundAt()
+	soundAt := s.SoundAt()
 	for _, section := range s.Sections {
-		suspected := d.sections[section]
-		if suspected != nil {
-			suspected.clear(soundAt)
-		}
-		c, convicted := d.convicted[section]
-		if convicted && (soundAt.After(c.at) || c.strikes > 0 && suspected != nil && suspected.count() < c.strikes) {
-			d.Release(section)
+		if d.Sound(section, soundAt) {
 			released = append(released, section)
 		}
 	}
 	return released
 }
 
+// Sound records that a section was sound at a time, and reports whether that refutes its conviction.
+func (d *Detector) Sound(section string, at time.Time) (released bool) {
+	known := d.sections[section] != nil
+	suspected := d.suspicionOf(section)
+	suspected.clear(at)
+	d.evictSections()
+	c, convicted := d.convicted[section]
+	refuted := at.After(c.at) || known && suspected.count() < c.strikes
+	if !convicted || !refuted {
+		return false
+	}
+	d.Release(section)
+	return true
+}
+
 // Alive records that an incarnation ran at a time after a connection to it had broken off, so that no section had crashed it. It
 // returns the sections whose conviction this refutes.
 func (d *Detector) Alive(incarnation Incarnation, at time.Time) (released []string) {
@@ -237,6 +245,11 @@
 	return next, released
 }
 
+// evictSections drops the sections whose evidence is oldest if there are too many.
+func (d *Detector) evictSections() {
+	evictOldest(d.sections, maxSections, func(s *suspicion) time.Time { return s.changedAt() })
+}
+
 // evictOldest deletes the oldest entries of a map until it has at most limit.
 func evictOldest[K comparable, V any](entries map[K]V, limit int, changedAt func(V) time.Time) {
 	for len(entries) > limit {
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -37,7 +37,8 @@
 func convictions(d *quarantine.Detector, strikes ...quarantine.Strike) []string {
 	var convicted []string
 	for _, s := range strikes {
-		more, _ := d.Strike(s)
+		d.Record(s)
+		more, _ := d.Judge(s.At)
 		convicted = append(convicted, more...)
 	}
 	return convicted
@@ -266,7 +267,8 @@
 		strike("r3", 2.5, 3, "sound"),
 	))
 	require.Empty(t, convictions(d, strike("r3", 0.5, 3, "deadly"), strike("r4", 4, 5, "deadly"), strike("r5", 6, 7, "deadly")))
-	convicted, released := d.Strike(strike("r6", 8, 9, "deadly"))
+	d.Record(strike("r6", 8, 9, "deadly"))
+	convicted, released := d.Judge(at(9))
 	require.Equal(t, []string{"deadly"}, convicted)
 	require.Equal(t, []string{"sound"}, released)
 }
@@ -285,7 +287,8 @@
 	d := quarantine.NewDetector()
 	for i := range 3000 {
 		sent := float64(i) / 10
-		d.Strike(strike(fmt.Sprintf("r%d", i), sent, sent+0.05, fmt.Sprintf("s%d", i), fmt.Sprintf("t%d", i)))
+		d.Record(strike(fmt.Sprintf("r%d", i), sent, sent+0.05, fmt.Sprintf("s%d", i), fmt.Sprintf("t%d", i)))
+		d.Judge(at(sent))
 	}
 	watched, _ := d.Watched(at(300))
 	require.Len(t, watched, 64)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -26,8 +26,8 @@
 	At time.Time
 }
 
-// soundAt returns until when the sections were certainly sound.
-func (s Success) soundAt() time.Time {
+// SoundAt returns until when the sections were certainly sound.
+func (s Success) SoundAt() time.Time {
 	if begun := s.At.Add(-timingError); begun.After(s.SentAt) {
 		return begun
 	}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -8,6 +8,8 @@
 type Evidence struct {
 	Strikes   []StrikeReport  `cbor:",omitempty"`
 	Successes []SuccessReport `cbor:",omitempty"`
+	// Sound lists how long ago sections were last known to be sound.
+	Sound map[string]time.Duration `cbor:",omitempty"`
 	// Running lists incarnations that sent data after a connection to them had broken off.
 	Running []RunningReport `cbor:",omitempty"`
 	// Requested lists sections in quarantine with which requests have arrived.
--- a/internal/quarantine/simulation_holder_test.go
+++ b/internal/quarantine/simulation_holder_test.go
@@ -17,7 +17,8 @@
 	sentAgo := s.now - r.sentAt
 	s.after(r.vm.delay, func() {
 		evidence.SentAt, evidence.At = start.Add(s.now-sentAgo), start.Add(s.now)
-		convicted, released := s.detector.Strike(evidence)
+		s.released(s.detector.Record(evidence))
+		convicted, released := s.detector.Judge(evidence.At)
 		for _, section := range convicted {
 			s.convicted[section] = true
 			if section != deadly {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -14,9 +14,9 @@
 	clearLead = 3
 )
 
-// convict convicts the sections that enough strikes point to, the most likely one first: a conviction explains crashes, which
+// Judge convicts the sections that enough strikes point to, the most likely one first: a conviction explains crashes, which
 // then no longer count for other sections. It also returns the sections whose conviction is refuted by that.
-func (d *Detector) convict(now time.Time) (convicted, released []string) {
+func (d *Detector) Judge(now time.Time) (convicted, released []string) {
 	for {
 		section, ok := d.mostLikely(now)
 		if !ok {
