quarantine: a linked VM keeps the lease holder's verdict

Cause: the VM had convicted the section by itself while it had no holder. Later its own evidence was refuted by a runner that had gone on, and it took the section off its list, which the holder does not send again unless it changes. Change: the holder's verdict replaces a VM's own one and its evidence, and a linked VM leaves releases to the holder.

--- a/internal/promptguard/cluster_test.go
+++ b/internal/promptguard/cluster_test.go
@@ -53,6 +53,32 @@
 	require.False(t, c.vms[1].Suspected(prompt("sound")))
 }
 
+// A VM that convicted a section by itself keeps the lease holder's verdict on it, even if its own evidence turns out to be weak.
+func TestOwnConvictionGivesWayToVerdictOfHolder(t *testing.T) {
+	c := newCluster(t, 3)
+	v := c.vms[1]
+	v.cutOff = true
+	for _, runner := range []string{"r1", "r2", "r3"} {
+		c.crash(v, runner, "deadly")
+	}
+	for _, runner := range []string{"r4", "r5", "r6"} {
+		c.crash(c.vms[0], runner, "deadly")
+	}
+	v.cutOff = false
+	c.link(v)
+	c.pass(3 * time.Second)
+	for _, runner := range []string{"r2", "r3"} {
+		c.received[runner] = c.clock.Now()
+		v.followed = append(v.followed, quarantine.Strike{
+			Incarnation: quarantine.Incarnation{Runner: runner},
+			At:          c.clock.Now().Add(-600 * time.Millisecond),
+		})
+	}
+	v.followOnce()
+	c.settle()
+	require.Equal(t, 3, c.quarantined("deadly"))
+}
+
 func TestNewHolderKnowsQuarantine(t *testing.T) {
 	c := newCluster(t, 3)
 	c.convict("deadly")
--- a/internal/promptguard/duties.go
+++ b/internal/promptguard/duties.go
@@ -93,7 +93,7 @@
 func (g *Guard) dropOverruled(now time.Time) {
 	overruled := make(map[string]bool)
 	for _, section := range g.detector.Convictions() {
-		if entry, known := g.list.Entry(section); known && entry.ActiveAt(now) {
+		if g.list.ActiveAt(section, now) {
 			continue
 		}
 		if !g.overruled[section] {
--- a/internal/promptguard/verdicts.go
+++ b/internal/promptguard/verdicts.go
@@ -85,7 +85,7 @@
 // convict puts convicted sections in quarantine: for all VMs if this one holds the lease, or only here if it is alone.
 func (g *Guard) convict(sections []string, now time.Time) {
 	for _, section := range sections {
-		if entry, known := g.list.Entry(section); known && entry.ActiveAt(now) {
+		if g.list.ActiveAt(section, now) {
 			continue
 		}
 		switch g.role {
@@ -105,10 +105,14 @@
 	}
 }
 
-// release takes sections whose conviction was refuted out of quarantine.
+// release takes sections whose conviction was refuted out of quarantine. On a VM that is linked to the lease holder, the holder
+// does so, which has the same evidence.
 func (g *Guard) release(sections []string, reason string, now time.Time) {
 	for _, section := range sections {
-		if entry, known := g.list.Entry(section); known && entry.ActiveAt(now) {
+		if g.role == linked && g.list.ActiveAt(section, now) {
+			continue
+		}
+		if g.list.ActiveAt(section, now) {
 			g.list.Release(section, now)
 			g.markUnsaved(section)
 		}
@@ -137,7 +141,9 @@
 	merged, _ := g.list.Entry(e.Section)
 	switch {
 	case merged.ActiveAt(now):
-		g.detector.Adopt(e.Section, merged.ConvictedAt)
+		if g.role != holder || !g.detector.Convicted(e.Section) {
+			g.detector.Adopt(e.Section, merged.ConvictedAt)
+		}
 		if !g.active[e.Section] {
 			g.active[e.Section] = true
 			event.SectionQuarantined.Log(g.Logger, slog.String("Section", e.Section), slog.Bool("AllVMs", true))
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -136,9 +136,9 @@
 	return released
 }
 
-// Adopt records a conviction made elsewhere.
+// Adopt records a conviction made elsewhere, on evidence that is not known here.
 func (d *Detector) Adopt(section string, at time.Time) {
-	if _, convicted := d.convicted[section]; convicted {
+	if c, convicted := d.convicted[section]; convicted && c.strikes == 0 {
 		return
 	}
 	d.sentence(section, conviction{at: at})
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -134,6 +134,12 @@
 	return e, ok
 }
 
+// ActiveAt reports whether a section is in quarantine.
+func (l *List) ActiveAt(section string, now time.Time) bool {
+	e, known := l.entries[section]
+	return known && e.ActiveAt(now)
+}
+
 // Entries returns all records ordered by section, without those that are no longer needed.
 func (l *List) Entries(now time.Time) []Entry {
 	entries := make([]Entry, 0, len(l.entries))
