dispatch: an answer begins with its first complete event

An attempt now counts as answered, for the evidence about its prompt, with the first complete event, or the end of another response. The end of a connection no longer counts as data from the runner, which could have passed for a sign that it runs on.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -35,8 +35,9 @@
 	ended   chan struct{}
 	// response is nil until the head has arrived.
 	response *Response
-	// received is set once a part of the body has arrived, begun once a part of it was passed on to the caller.
-	received bool
+	// answered is set once an event or, of another response, the whole body has arrived; begun is set once a part was passed on to
+	// the caller.
+	answered bool
 	begun    bool
 	// body is what has arrived of a response that is passed on as a whole; bodyBytes is the size of all that has arrived.
 	body      []byte
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -32,10 +32,6 @@
 
 // handleBody handles a part of the body of a response.
 func (c *call) handleBody(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
-	if len(u.data) > 0 && !a.received {
-		a.received = true
-		c.recordSound(a)
-	}
 	if c.streams(a.response) {
 		return c.relayEvents(ctx, a, u)
 	}
@@ -52,6 +48,9 @@
 		// Blank lines are no event that shows where the stream goes on.
 		events = nil
 	}
+	if len(events) > 0 {
+		c.recordSound(a)
+	}
 	if id, ok := firstEventID(events); ok && !a.begun && !follows(c.lastEventID, id) {
 		return c.handleBreak(a, &ResumeError{
 			Status:      a.response.Status,
@@ -109,6 +108,7 @@
 	}
 	length := a.response.Length
 	if ended {
+		c.recordSound(a)
 		length = int64(a.bodyBytes)
 	}
 	if !c.passOn(a, a.body, length) {
--- a/internal/dispatch/sections.go
+++ b/internal/dispatch/sections.go
@@ -33,18 +33,19 @@
 	return c.service.Engine != nil && !c.responseStarted && c.d.Guard.Suspected(c.request.PromptSections)
 }
 
-// recordStrike records that the connection to a runner broke off before the runner had begun its response.
+// recordStrike records that the connection to a runner broke off before the runner had answered the request in part.
 func (c *call) recordStrike(a *attempt, err error) {
-	if c.service.Engine != nil && !a.received && brokenOff(err) {
+	if c.service.Engine != nil && !a.answered && brokenOff(err) {
 		c.d.Guard.RecordStrike(a.pick.runner, c.request.PromptSections, a.sent, a.lastUpdate)
 	}
 }
 
-// recordSound records that a runner has begun its response.
+// recordSound records that a runner has answered the request, at least in part.
 func (c *call) recordSound(a *attempt) {
-	if c.service.Engine != nil && a.response.successful() {
+	if c.service.Engine != nil && a.response.successful() && !a.answered {
 		c.d.Guard.RecordSound(c.request.PromptSections, a.sent, a.lastUpdate)
 	}
+	a.answered = true
 }
 
 // brokenOff reports whether an attempt failed because the other side ended the connection.
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -23,7 +23,9 @@
 	a.lastUpdate = c.d.Clock.Now()
 	switch {
 	case a.response != nil:
-		c.d.Tracker.dataReceived(a.pick.runner, a.lastUpdate)
+		if len(u.data) > 0 {
+			c.d.Tracker.dataReceived(a.pick.runner, a.lastUpdate)
+		}
 		return c.handleBody(ctx, a, u)
 	case u.err != nil:
 		return c.handleSendError(a, u.err)
