quarantine: decide after a second in which nothing clears a section

A suspect that was pending at five crashes is now convicted once no answer has cleared it for a second; of two that are equally likely, the later one in the prompt, as before. TestSectionIsConvictedWhileNothingIsAnswered fails on the code before.

--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -10,6 +10,9 @@
 	// decideStrikes is the number of consecutive strikes that convicts the most likely of several sections which were pending at
 	// the same crashes.
 	decideStrikes = 5
+	// decideDelay is how long no answer must have cleared a section that was pending at as many crashes, but has fewer consecutive
+	// strikes.
+	decideDelay = time.Second
 	// clearLead is how many more crashes than another a section must have been pending at to be convicted before that.
 	clearLead = 3
 )
@@ -62,16 +65,29 @@
 			continue
 		}
 		suspected.expire(now)
-		if suspected.count() >= d.threshold(section) && (!found || d.likelier(section, best)) {
+		if (suspected.count() >= d.threshold(section) || d.overwhelming(section, now)) && (!found || d.likelier(section, best)) {
 			best, found = section, true
 		}
 	}
-	if !found || d.onParole(best) || d.sections[best].count() >= decideStrikes {
+	if !found || d.onParole(best) || d.overwhelming(best, now) {
 		return best, found
 	}
 	return best, !d.hasRival(best)
 }
 
+// overwhelming reports whether the evidence against a section suffices although another one may be as likely: enough consecutive
+// strikes, or a suspect that was pending at as many crashes and that no answer has cleared for a while. While most runners are
+// down, no answer can clear either of the two.
+func (d *Detector) overwhelming(section string, now time.Time) bool {
+	suspected := d.sections[section]
+	count := suspected.count()
+	if count >= decideStrikes {
+		return true
+	}
+	return count >= suspectStrikes && d.crashCount(section) >= decideStrikes &&
+		now.Sub(suspected.strikes[len(suspected.strikes)-1].at) >= decideDelay
+}
+
 func (d *Detector) onParole(section string) bool {
 	_, paroled := d.paroled[section]
 	return paroled
