dispatch: complete no response with the body of another runner

The attempt that has begun such a response is now the only one; if it breaks off, the connection is closed.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -180,9 +180,15 @@
 
 // takeRetry reports whether another attempt is allowed and, if so, takes it from the retry budget.
 func (c *call) takeRetry() bool {
-	return c.attempts < c.route.MaxAttempts && !(c.mayHaveRun && c.suspected()) && c.d.RetryBudget.TakeRetry(c.service.Name, c.d.Clock.Now())
+	if c.attempts >= c.route.MaxAttempts || (c.mayHaveRun && c.suspected()) || c.beyondRetry() {
+		return false
+	}
+	return c.d.RetryBudget.TakeRetry(c.service.Name, c.d.Clock.Now())
 }
 
+// beyondRetry reports whether the caller has received a part of a response that only its runner can complete.
+func (c *call) beyondRetry() bool { return c.responseStarted && c.route.Kind != catalog.Streaming }
+
 // hasAlternative reports whether the request could be sent to another runner now.
 func (c *call) hasAlternative() bool {
 	now := c.d.Clock.Now()
