dispatch: take a retry before a runner's error response is given up

The budget was checked, the runner's own response dropped, and only then the retry taken; if another request had used the last one meanwhile, the caller got an error of this VM in place of the runner's. Found by a review, from reading: no test provokes that race.

--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -149,21 +149,23 @@
 func (c *call) handleErrorStatus(a *attempt) (bool, *refusal.Refusal) {
 	serverError := a.response.Status >= http.StatusInternalServerError
 	c.d.Tracker.recordServerError(a.pick.runner, serverError, a.lastUpdate)
-	if !c.responseStarted && a == c.current && !c.canSucceed(serverError) {
+	if !c.responseStarted && a == c.current && !c.replaceable(serverError) {
 		return false, nil
 	}
 	c.recordSendFailure(a.pick, &StatusError{Status: a.response.Status})
 	a.drain(c.d.Clock)
+	retry := a == c.current && c.standby == nil
 	c.end(a)
-	if c.inProgress() || (serverError && c.route.Idempotent() && c.takeRetry()) {
+	if c.inProgress() || (retry && !c.responseStarted) || (serverError && c.route.Idempotent() && c.takeRetry()) {
 		return false, nil
 	}
 	return true, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "the stream could not be resumed").WithRan(refusal.Unknown)
 }
 
-// canSucceed reports whether a request whose current runner responded with an error may still be answered by another one.
-func (c *call) canSucceed(serverError bool) bool {
-	return serverError && (c.standby != nil || (c.route.Idempotent() && c.hasAlternative()))
+// replaceable reports whether a request whose current runner responded with an error goes on with another one. The retry is taken
+// before the response is given up.
+func (c *call) replaceable(serverError bool) bool {
+	return serverError && (c.standby != nil || (c.route.Idempotent() && c.hasAlternative() && c.takeRetry()))
 }
 
 // recordAnswered records how long a runner took for a response that was received to its end.
