dispatch: only an event takes a stream over from a silent runner

What comes before a runner's first event is held and passed on with it, and an empty response takes nothing over. TestTakeoverNeedsEvent fails in 4 of 6 cases on the code before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -43,6 +43,8 @@
 	body      []byte
 	bodyBytes int
 	events    eventSplitter
+	// held is what has arrived before the first event, such as comments.
+	held []byte
 	// pendingSince is when the first bytes of the incomplete event arrived, zero if there is none.
 	pendingSince time.Time
 }
@@ -174,7 +176,7 @@
 	return !a.pendingSince.IsZero() && now.Sub(a.pendingSince) >= maxEventTime
 }
 
-// feed returns the events that data completes.
+// feed returns the events that data completes. What comes before the first event is held until then.
 func (a *attempt) feed(data []byte, now time.Time) ([]byte, error) {
 	events, err := a.events.feed(data)
 	switch {
@@ -183,6 +185,14 @@
 	case len(events) > 0 || a.pendingSince.IsZero():
 		a.pendingSince = now
 	}
+	if a.answered || len(events) == 0 {
+		return events, err
+	}
+	a.held = append(a.held, events...)
+	if !hasEvent(a.held) {
+		return nil, err
+	}
+	events, a.held = a.held, nil
 	return events, err
 }
 
--- a/internal/dispatch/eventsplitter.go
+++ b/internal/dispatch/eventsplitter.go
@@ -66,6 +66,16 @@
 	return "", false
 }
 
+// hasEvent reports whether a part of a stream has more than comments and blank lines.
+func hasEvent(complete []byte) bool {
+	for line := range bytes.Lines(complete) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // EventTooLargeError reports a stream event above the size limit.
 type EventTooLargeError struct {
 	Bytes int
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -44,10 +43,6 @@
 	if err != nil {
 		return c.handleBreak(a, err)
 	}
-	if c.responseStarted && !a.begun && len(bytes.TrimSpace(events)) == 0 {
-		// Blank lines are no event that shows where the stream goes on.
-		events = nil
-	}
 	if len(events) > 0 {
 		c.recordSound(a)
 	}
@@ -70,10 +65,13 @@
 	case !a.complete(u.err):
 		a.response.Close()
 		return c.handleBreak(a, u.err)
-	case !a.begun && c.responseStarted:
+	case !a.begun && (c.responseStarted || a == c.standby):
 		// Nothing shows that the stream was complete before.
-		return c.handleBreak(a, io.ErrUnexpectedEOF)
-	case !a.begun && !c.passOn(a, nil, -1):
+		return c.handleBreak(a, &ResumeError{
+			Status:      a.response.Status,
+			ContentType: a.response.Header.Get("Content-Type"),
+		})
+	case !a.begun && !c.passOn(a, a.held, -1):
 		return true, nil
 	default:
 		c.recordAnswered(a)
