--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -27,7 +27,7 @@
 	pick choice
 	use  roster.ModelUse
 	sent time.Time
-	// lastUpdate is when the newest update was handled, or when the request was sent.
+	// lastUpdate is when the newest update that was handled had arrived, or when the request was sent.
 	lastUpdate time.Time
 	cancel     context.CancelCauseFunc
 	// updates delivers the head of the response, or the error in its place, and then the body.
@@ -55,6 +55,8 @@
 	response *Response
 	data     []byte
 	err      error
+	// at is when it arrived, which may be long before it is handled.
+	at time.Time
 }
 
 // startAttempt sends the request to a runner.
@@ -78,16 +80,17 @@
 	c.tried = append(c.tried, pick.runner.ID)
 	c.attempts++
 	c.d.Tracker.requestSent(a.use, now)
-	go a.receive(ctx, c.d.Sender, c.request, c.newAttempt(pick.runner))
+	go a.receive(ctx, c.d.Sender, c.d.Clock, c.request, c.newAttempt(pick.runner))
 	return a
 }
 
 // receive delivers the updates of an attempt until the response or the attempt ends.
-func (a *attempt) receive(ctx context.Context, sender Sender, r *Request, parameters Attempt) {
+func (a *attempt) receive(ctx context.Context, sender Sender, clock clockwork.Clock, r *Request, parameters Attempt) {
 	response, err := sender.Send(ctx, a.pick.runner, r, parameters)
 	delivered := a.deliver(update{
 		response: response,
 		err:      err,
+		at:       clock.Now(),
 	})
 	if err != nil {
 		return
@@ -99,7 +102,12 @@
 	for {
 		buffer := make([]byte, chunkBytes)
 		n, err := response.Body.Read(buffer)
-		if !a.deliver(update{data: buffer[:n], err: err}) || err != nil {
+		delivered := a.deliver(update{
+			data: buffer[:n],
+			err:  err,
+			at:   clock.Now(),
+		})
+		if !delivered || err != nil {
 			return
 		}
 	}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -192,7 +192,7 @@
 // hasAlternative reports whether the request could be sent to another runner now.
 func (c *call) hasAlternative() bool {
 	now := c.d.Clock.Now()
-	if c.attempts >= c.route.MaxAttempts || c.suspected() || !c.d.RetryBudget.RetryAllowed(c.service.Name, now) {
+	if c.attempts >= c.route.MaxAttempts || c.barred() || !c.d.RetryBudget.RetryAllowed(c.service.Name, now) {
 		return false
 	}
 	return c.d.Tracker.choose(c.d.Roster(), c.requirements(), now).runner != nil
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -108,7 +108,7 @@
 // startStandby begins a second attempt if the runner of the current one has been silent for too long, or has been sending the
 // bytes of one event for too long, and if another runner can take the request.
 func (c *call) startStandby(ctx context.Context) {
-	if c.silentFor() < c.silenceLimit() && !c.current.eventOverdue(c.d.Clock.Now()) || c.suspected() {
+	if c.silentFor() < c.silenceLimit() && !c.current.eventOverdue(c.d.Clock.Now()) || c.barred() {
 		return
 	}
 	pick := c.d.Tracker.choose(c.d.Roster(), c.requirements(), c.d.Clock.Now())
--- a/internal/dispatch/sections.go
+++ b/internal/dispatch/sections.go
@@ -33,6 +33,9 @@
 	return c.service.Engine != nil && !c.responseStarted && c.d.Guard.Suspected(c.request.PromptSections)
 }
 
+// barred reports whether the request must not be sent to a second runner.
+func (c *call) barred() bool { return c.suspected() || c.quarantineRefusal() != nil }
+
 // recordStrike records that the connection to a runner broke off before the runner had answered the request in part.
 func (c *call) recordStrike(a *attempt, err error) {
 	if c.service.Engine != nil && !a.answered && brokenOff(err) {
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -20,7 +20,7 @@
 	if ctx.Err() != nil {
 		return false, nil
 	}
-	a.lastUpdate = c.d.Clock.Now()
+	a.lastUpdate = u.at
 	switch {
 	case a.response != nil:
 		if len(u.data) > 0 {
