quarantine: let a quarantine end although requests arrive

The term counted from the last request, which was refused, and nothing else shows that a section is sound: one that was convicted wrongly stayed in quarantine for as long as it was requested. It now lasts six terms at most, an hour after the first conviction; then one strike convicts it again. TestQuarantineEndsAlthoughRequestsArrive fails on the code before (24 hours and more in place of one).

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -10,6 +10,8 @@
 	// up to maxTerm.
 	baseTerm = 10 * time.Minute
 	maxTerm  = time.Hour
+	// maxTerms is how many terms a quarantine lasts at most although requests arrive: nothing else shows that the section is sound.
+	maxTerms = 6
 	// recordTTL is how long a section's record is kept after it has expired or was released.
 	recordTTL = 24 * time.Hour
 	// maxEntries bounds the number of records.
@@ -28,13 +30,14 @@
 	RequestedAt time.Time
 }
 
-// Expiry returns when the quarantine ends unless a further request arrives.
+// Expiry returns when the quarantine ends unless a further request arrives; it does not last longer than maxTerms terms.
 func (e Entry) Expiry() time.Time {
 	term := baseTerm
 	for n := 1; n < e.Convictions && term < maxTerm; n++ {
 		term *= 2
 	}
-	return e.RequestedAt.Add(min(term, maxTerm))
+	term = min(term, maxTerm)
+	return earliest(e.RequestedAt.Add(term), e.ConvictedAt.Add(maxTerms*term))
 }
 
 // Released reports whether the newest conviction was refuted.
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -80,3 +80,14 @@
 	_, kept := l.Entry("s0")
 	require.False(t, kept)
 }
+
+// A section that was convicted wrongly must not stay in quarantine for ever because its requests keep arriving.
+func TestQuarantineEndsAlthoughRequestsArrive(t *testing.T) {
+	l := quarantine.NewList()
+	l.Convict("sound", at(0))
+	minutes := 0
+	for ; minutes < 24*60 && l.ActiveAt("sound", at(float64(minutes*60))); minutes++ {
+		l.Requested("sound", at(float64(minutes*60)))
+	}
+	require.Equal(t, 60, minutes)
+}
