review: an entry that lacks fields sends requests to another service

Cause: decodeRunner reads some of the fields of an entry and takes one that lacks the others (version, cold_remaining_ms) as sound. Under the key of a live runner, with a greater sequence, it replaces the runner's own entries, its service included.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,6 +12,7 @@
 func main() {
 	cases := map[string]func(*world, bool) (bool, error){
 		"endless": endless,
+		"odd":     odd,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
