review: two runners work on one request while the first is silent

Cause: a second attempt begins beside a runner that has been silent for twice the objective, and the first is ended only when one of the two has something to pass on. A sound runner that is silent for 1.6 s and a second one that needs 480 ms until its first event both work on the request for longer than the 400 ms that the rule allows.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -13,6 +13,7 @@
 	cases := map[string]func(*world, bool) (bool, error){
 		"endless": endless,
 		"odd":     odd,
+		"silent":  silent,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
