review: idle connections take all sockets of a machine left alone

Cause: the server keeps idle connections for two minutes, whatever idle timeout the configuration gives, and nothing else bounds them. Clients that open a connection for each request fill the 3,900 sockets of a machine whose only neighbour in the zone is lost.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,6 +12,7 @@
 func main() {
 	cases := map[string]func(*world, bool) (bool, error){
 		"endless": endless,
+		"idle":    idle,
 		"odd":     odd,
 		"silent":  silent,
 	}
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
 
 	"github.com/cowsliparch/cowsliparch/platform/platformtest"
 )
@@ -307,3 +308,54 @@
 	_ = os.RemoveAll(w.dir)
 	_ = w.record.Close()
 }
+
+// openFiles returns how many files, sockets included, the process has open.
+func (v *vm) openFiles() int {
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", v.command.Process.Pid))
+	return len(entries)
+}
+
+// probe asks the process once a second whether it is ready, on a kept connection, as the platform does. The returned function says
+// for how long it has been without a miss.
+func (w *world) probe(v *vm, stop <-chan struct{}) func() time.Duration {
+	var mu sync.Mutex
+	missed := time.Now()
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{}}
+	go func() {
+		for {
+			response, err := client.Get("http://" + v.ready + names["ready"])
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			if err != nil || response.StatusCode != http.StatusOK {
+				mu.Lock()
+				missed = time.Now()
+				mu.Unlock()
+				w.logf("%s isn't ready: %v", v.name, err)
+			}
+			select {
+			case <-time.After(time.Second):
+			case <-stop:
+				return
+			}
+		}
+	}()
+	return func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Since(missed)
+	}
+}
+
+// raiseOwnLimit makes room for the clients' connections; it fails if this process may not have as many.
+func raiseOwnLimit() error {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	limit.Cur = limit.Max
+	if limit.Max < 2*sockets {
+		return fmt.Errorf("only %d files may be open", limit.Max)
+	}
+	return unix.Setrlimit(unix.RLIMIT_NOFILE, &limit)
+}
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -5,7 +5,7 @@
   echo 'build first: the build line of deploy/system.toml, then review/build.sh' >&2
   exit 2
 fi
-timeout 100 target/review/standin "$1" "$2/record.txt"
+timeout 118 target/review/standin "$1" "$2/record.txt"
 code=$?
 if [ "$code" -gt 1 ]; then
   exit 2
