dispatch: bound what a stream sends before its first event

Cause: what comes before the first event of a stream, such as comments, is held until that event, without a limit, and was searched for an event again from its beginning with each chunk. A runner that sends comments without end therefore takes memory until the route's time is over, and the processor time grows with the square of what came. It is never silent, so no other runner is tried.

A stream that sends more than 64 KiB, the limit of a head, without an event is broken off like any other broken answer: the request goes on at another runner if its route allows that, and else gets 502. Streams with some comments, and keep-alives between events, are passed on as before. Only the part that is new is searched.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -18,6 +18,8 @@
 	// maxDrainBytes and drainTimeout limit what is read of a response that is not passed on, to reuse its connection.
 	maxDrainBytes = 64 << 10
 	drainTimeout  = 100 * time.Millisecond
+	// maxPreludeBytes limits what comes before the first event of a stream, such as comments.
+	maxPreludeBytes = 64 << 10
 	// maxEventTime is how long the bytes of one event may take to arrive before another runner is tried.
 	maxEventTime = 2 * time.Second
 )
@@ -184,7 +186,18 @@
 	return !a.pendingSince.IsZero() && now.Sub(a.pendingSince) >= maxEventTime
 }
 
-// feed returns the events that data completes. What comes before the first event is held until then.
+// NoEventError reports a stream that did not send an event within the size limit of what may come before the first one.
+type NoEventError struct {
+	Bytes int
+}
+
+// Error implements error.
+func (e *NoEventError) Error() string {
+	return "stream does not begin with an event within the size limit"
+}
+
+// feed returns the events that data completes. What comes before the first event is held until then. It fails with
+// EventTooLargeError or NoEventError.
 func (a *attempt) feed(data []byte, now time.Time) ([]byte, error) {
 	events, err := a.events.feed(data)
 	switch {
@@ -197,7 +210,10 @@
 		return events, err
 	}
 	a.held = append(a.held, events...)
-	if !hasEvent(a.held) {
+	if !hasEvent(events) {
+		if len(a.held) > maxPreludeBytes {
+			return nil, &NoEventError{Bytes: len(a.held)}
+		}
 		return nil, err
 	}
 	events, a.held = a.held, nil
