dispatch: search only the new part of an unfinished event

Callers saw answers come late or not at all while a runner sent large events: each chunk of 4 KiB made the VM search all of the unfinished event for its end again, so that the time grows with the square of the event's size.

A separator that is new ends in the new chunk, so the search starts three bytes before it. TestEventSplitterReturnsCompleteEvents has separators that are cut by chunks in every place, FuzzEventSplitter any other.

--- a/internal/dispatch/eventsplitter.go
+++ b/internal/dispatch/eventsplitter.go
@@ -14,14 +14,17 @@
 
 // feed returns the events that a chunk completes and keeps the incomplete rest.
 func (s *eventSplitter) feed(data []byte) ([]byte, error) {
+	// Only a separator that ends in data is new.
+	start := max(len(s.pending)-maxSeparatorBytes+1, 0)
 	s.pending = append(s.pending, data...)
-	end := lastEventEnd(s.pending)
+	end := lastEventEnd(s.pending[start:])
 	if end == 0 {
 		if len(s.pending) > maxEventBytes {
 			return nil, &EventTooLargeError{Bytes: len(s.pending)}
 		}
 		return nil, nil
 	}
+	end += start
 	complete := s.pending[:end:end]
 	s.pending = append([]byte(nil), s.pending[end:]...)
 	if id, ok := lastEventID(complete); ok {
@@ -30,6 +33,9 @@
 	return complete, nil
 }
 
+// maxSeparatorBytes is the length of the longest separator of events.
+const maxSeparatorBytes = len("\r\n\r\n")
+
 // lastEventEnd returns where the last complete event ends, or 0 if there is none.
 func lastEventEnd(b []byte) int {
 	end := 0
--- a/internal/dispatch/eventsplitter_test.go
+++ b/internal/dispatch/eventsplitter_test.go
@@ -20,6 +20,7 @@
 		"id after data":            {[]string{"data: a\nid: 5\n\n"}, []string{"data: a\nid: 5\n\n"}, "5"},
 		"id inside data only":      {[]string{"data: id: 6\n\n"}, []string{"data: id: 6\n\n"}, ""},
 		"no space after the colon": {[]string{"id:7\n\n"}, []string{"id:7\n\n"}, "7"},
+		"cut separators":           {[]string{"id: 8\n\r", "\n\r", "\n", "id: 9\n", "\n"}, []string{"", "", "id: 8\n\r\n\r\n", "", "id: 9\n\n"}, "9"},
 		"event without an id":      {[]string{"id: 1\n\n", "data: x\n\n"}, []string{"id: 1\n\n", "data: x\n\n"}, "1"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -41,6 +42,17 @@
 	require.ErrorAs(t, err, &large)
 }
 
+// Splitting one event of the largest size must take time in proportion to it, however small its chunks are.
+func BenchmarkEventSplitter(b *testing.B) {
+	chunk := make([]byte, chunkBytes)
+	for b.Loop() {
+		var s eventSplitter
+		for range maxEventBytes / chunkBytes {
+			_, _ = s.feed(chunk)
+		}
+	}
+}
+
 func FuzzEventSplitter(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\n\r\n"), 3)
 	f.Fuzz(func(t *testing.T, content []byte, cut int) {
