dispatch: limit what all responses together hold

Callers saw connections end without an answer when the process of their entry VM was killed for its memory. It takes no single endless response for that: hundreds at once that stay within the limit of each one do it too.

Cause: every limit was one response's (1 MiB an event, 1 MiB a body that is collected), and none held for all. The buffer of a body that had begun to be passed on was kept, too, and so was all that waited for a caller who did not read.

A budget of an eighth of the VM's memory (setting MemoryMB) counts what all responses hold. Without room, bodies are passed on as they arrive; then the stream that holds the most is given up, and a blocked write to its caller with it. What is not given up fits, so the limit holds however many responses there are. The runtime gets a soft limit for the heap as well.

--- /dev/null
+++ b/internal/buffer/budget.go
@@ -0,0 +1,137 @@
+package buffer
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+)
+
+// Budget is the number of bytes that all shares of it may hold together; it is safe for concurrent use.
+type Budget struct {
+	limit   int64
+	held    atomic.Int64
+	evicted atomic.Uint64
+
+	mu sync.Mutex
+	// claimed is what the shares hold that are not evicted; those that hold anything are in shares.
+	claimed int64
+	shares  map[*Share]struct{}
+}
+
+// NewBudget returns a budget with a limit in bytes.
+func NewBudget(limit int64) *Budget {
+	return &Budget{
+		limit:  limit,
+		shares: make(map[*Share]struct{}),
+	}
+}
+
+// Held returns how many bytes all shares hold now, evicted ones included.
+func (b *Budget) Held() int64 { return b.held.Load() }
+
+// Evicted returns how many shares have been evicted.
+func (b *Budget) Evicted() uint64 { return b.evicted.Load() }
+
+// Share returns a share that holds nothing yet. If it is evicted, onEvict is called once; it must not block.
+func (b *Budget) Share(onEvict func(*EvictedError)) *Share {
+	return &Share{
+		budget:  b,
+		onEvict: onEvict,
+	}
+}
+
+// Share is what one response holds of a budget; it is safe for concurrent use.
+type Share struct {
+	budget  *Budget
+	onEvict func(*EvictedError)
+	// held is guarded by the budget's lock.
+	held    int64
+	evicted atomic.Pointer[EvictedError]
+}
+
+// EvictedError reports that a response was given up because all responses together held too much, and it held the most.
+type EvictedError struct {
+	// Bytes is what the response held, Limit what all of them may hold together.
+	Bytes int64
+	Limit int64
+}
+
+// Error implements error.
+func (e *EvictedError) Error() string {
+	return "response given up: it holds " + strconv.FormatInt(e.Bytes, 10) + " bytes, the most of all, which together exceed " +
+		strconv.FormatInt(e.Limit, 10)
+}
+
+// TryHold sets what the share holds if that fits into the budget, and reports whether it does.
+func (s *Share) TryHold(bytes int) bool {
+	b := s.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.Evicted() != nil || b.claimed-s.held+int64(bytes) > b.limit {
+		return false
+	}
+	b.set(s, int64(bytes))
+	return true
+}
+
+// Hold sets what the share holds. If that does not fit into the budget, the shares that hold most are evicted until the others
+// do. It fails with EvictedError if this share is or was evicted; what it holds counts until it is released.
+func (s *Share) Hold(bytes int) error {
+	b := s.budget
+	b.mu.Lock()
+	b.set(s, int64(bytes))
+	var victims []*Share
+	for b.claimed > b.limit {
+		victims = append(victims, b.evictLargest())
+	}
+	b.mu.Unlock()
+	for _, victim := range victims {
+		victim.onEvict(victim.Evicted())
+	}
+	if evicted := s.Evicted(); evicted != nil {
+		return evicted
+	}
+	return nil
+}
+
+// Release ends the share.
+func (s *Share) Release() {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.budget.set(s, 0)
+}
+
+// Evicted returns why the share was evicted, or nil if it was not.
+func (s *Share) Evicted() *EvictedError { return s.evicted.Load() }
+
+// set changes what a share holds; the caller holds the lock.
+func (b *Budget) set(s *Share, bytes int64) {
+	b.held.Add(bytes - s.held)
+	if s.Evicted() == nil {
+		b.claimed += bytes - s.held
+		if bytes > 0 {
+			b.shares[s] = struct{}{}
+		} else {
+			delete(b.shares, s)
+		}
+	}
+	s.held = bytes
+}
+
+// evictLargest evicts the share that holds most and returns it; the caller holds the lock.
+func (b *Budget) evictLargest() *Share {
+	var largest *Share
+	for s := range b.shares {
+		if largest == nil || s.held > largest.held {
+			largest = s
+		}
+	}
+	delete(b.shares, largest)
+	b.claimed -= largest.held
+	b.evicted.Add(1)
+	largest.evicted.Store(&EvictedError{
+		Bytes: largest.held,
+		Limit: b.limit,
+	})
+	return largest
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cowsliparch/cowsliparch/internal/buffer"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -32,6 +34,11 @@
 	// lastUpdate is when the newest update that was handled had arrived, or when the request was sent.
 	lastUpdate time.Time
 	cancel     context.CancelCauseFunc
+	// share counts what is held of the response; writing is set while a part of it is written to the caller.
+	share   *buffer.Share
+	writing atomic.Bool
+	// holds is set while share holds anything.
+	holds bool
 	// updates delivers the head of the response, or the error in its place, and then the body.
 	updates chan update
 	ended   chan struct{}
@@ -82,6 +89,7 @@
 	c.tried = append(c.tried, pick.runner.ID)
 	c.attempts++
 	c.d.Tracker.requestSent(a.use, now)
+	a.share = c.d.Buffers.Share(func(evicted *buffer.EvictedError) { c.evict(a, evicted) })
 	go a.receive(ctx, c.d.Sender, c.d.Clock, c.request, c.newAttempt(pick.runner))
 	return a
 }
@@ -141,6 +149,7 @@
 // close ends the attempt; before the end of the response, that makes the runner stop.
 func (a *attempt) close() {
 	close(a.ended)
+	a.share.Release()
 	if a.response == nil {
 		a.closeUnhandled()
 	} else {
--- a/internal/dispatch/caller.go
+++ b/internal/dispatch/caller.go
@@ -14,6 +14,8 @@
 	Write(piece []byte) error
 	// Refuse sends an error response; nothing may have been sent before.
 	Refuse(r *refusal.Refusal)
+	// Interrupt makes a Write that blocks fail, as well as all later ones; any goroutine may call it.
+	Interrupt()
 	// Abort breaks off the connection, so that a partial response can't look complete.
 	Abort()
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cowsliparch/cowsliparch/internal/buffer"
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
@@ -41,6 +42,8 @@
 	RetryBudget *RetryBudget
 	Sender      Sender
 	Demand      DemandRecorder
+	// Buffers limits what is held of all responses together.
+	Buffers *buffer.Budget
 	// Guard may be nil; then every prompt may be sent.
 	Guard   SectionGuard
 	Metrics *Metrics
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowsliparch/cowsliparch/internal/buffer"
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
@@ -25,6 +26,8 @@
 const (
 	waitTimeout  = 20 * time.Second
 	pollInterval = 2 * time.Millisecond
+	// bufferBytes is what the responses of a harness may hold together.
+	bufferBytes = 8 << 20
 )
 
 // reply is what a runner does with one attempt.
@@ -170,6 +173,8 @@
 	c.refused = r
 }
 
+func (c *fakeCaller) Interrupt() {}
+
 func (c *fakeCaller) Abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -261,6 +266,7 @@
 		RetryBudget: h.retryBudget,
 		Sender:      h.sender,
 		Demand:      h.demand,
+		Buffers:     buffer.NewBudget(bufferBytes),
 		Metrics:     dispatch.NewMetrics(prometheus.NewRegistry()),
 		Clock:       clock,
 		Logger:      slog.New(slog.DiscardHandler),
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -31,6 +31,9 @@
 
 // handleBody handles a part of the body of a response.
 func (c *call) handleBody(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
+	if evicted := a.share.Evicted(); evicted != nil {
+		return c.handleBreak(a, evicted)
+	}
 	if c.streams(a.response) {
 		return c.relayEvents(ctx, a, u)
 	}
@@ -40,6 +43,9 @@
 // relayEvents passes on the events that are complete.
 func (c *call) relayEvents(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
 	events, err := a.feed(u.data, a.lastUpdate)
+	if err == nil {
+		err = a.hold(events)
+	}
 	if err != nil {
 		return c.handleBreak(a, err)
 	}
@@ -53,8 +59,11 @@
 			EventID:     id,
 		})
 	}
-	if len(events) > 0 && !c.passOn(a, events, -1) {
-		return true, nil
+	if len(events) > 0 {
+		if !c.passOn(a, events, -1) {
+			return true, nil
+		}
+		_ = a.hold(nil)
 	}
 	switch {
 	case u.err == nil:
@@ -89,8 +98,8 @@
 	return err != nil || after > before
 }
 
-// relayWhole collects a response until its end, so that no caller gets a truncated one. One that is too large to collect is passed
-// on as it arrives, and broken off if it has no stated length and does not end.
+// relayWhole collects a response until its end, so that no caller gets a truncated one. One that is too large to collect, by itself or
+// together with all others, is passed on as it arrives, and broken off if it has no stated length and does not end.
 func (c *call) relayWhole(a *attempt, u update) (bool, *refusal.Refusal) {
 	a.bodyBytes += len(u.data)
 	if a.response.Length < 0 && a.bodyBytes > maxUnboundedBytes {
@@ -101,7 +110,7 @@
 	if u.err != nil && !ended {
 		return c.handleBreak(a, u.err)
 	}
-	if !ended && !a.begun && len(a.body) <= maxBufferedBytes {
+	if !ended && !a.begun && len(a.body) <= maxBufferedBytes && a.tryHold() {
 		return false, nil
 	}
 	length := a.response.Length
@@ -112,7 +121,8 @@
 	if !c.passOn(a, a.body, length) {
 		return true, nil
 	}
-	a.body = a.body[:0]
+	a.body = nil
+	_ = a.hold(nil)
 	if !ended {
 		return false, nil
 	}
@@ -147,15 +157,24 @@
 	if a.events.lastID != "" {
 		c.lastEventID = a.events.lastID
 	}
-	if c.write(piece) != nil {
-		c.outcome = Left
+	if c.write(a, piece) != nil {
+		if evicted := a.share.Evicted(); evicted != nil {
+			c.abort(evicted.Error())
+		} else {
+			c.outcome = Left
+		}
 		return false
 	}
 	return true
 }
 
-// write sends a part of the body to the caller and counts its bytes.
-func (c *call) write(piece []byte) error {
+// write sends a part of the body to the caller and counts its bytes. Eviction of the attempt's response interrupts it.
+func (c *call) write(a *attempt, piece []byte) error {
+	a.writing.Store(true)
+	defer a.writing.Store(false)
+	if evicted := a.share.Evicted(); evicted != nil {
+		return evicted
+	}
 	if err := c.caller.Write(piece); err != nil {
 		return err
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -46,6 +46,7 @@
 	CallerLeft            = Event{Number: 1905, Name: "CallerLeft", Level: slog.LevelInfo, Meaning: "The caller disconnected before the end of the response.", Action: "None."}
 	SendFailed            = Event{Number: 1906, Name: "SendFailed", Level: slog.LevelInfo, Meaning: "One attempt to send a request to a runner failed; `Canceled` is set if this VM ended it because the runner was silent.", Action: "Check the runner if it repeats."}
 	StreamResumed         = Event{Number: 1907, Name: "StreamResumed", Level: slog.LevelInfo, Meaning: "A stream continues at another runner.", Action: "None."}
+	ResponseEvicted       = Event{Number: 1908, Name: "ResponseEvicted", Level: slog.LevelWarn, Meaning: "All responses together held too much memory, so the one that held the most was given up.", Action: "Check the runner: sound responses hold little."}
 	RunnerRegistered      = Event{Number: 2001, Name: "RunnerRegistered", Level: slog.LevelInfo, Meaning: "A runner registered for the first time, or as a new incarnation.", Action: "None."}
 	RunnerChanged         = Event{Number: 2002, Name: "RunnerChanged", Level: slog.LevelInfo, Meaning: "A runner's registration changed.", Action: "None."}
 	RunnerRemoved         = Event{Number: 2003, Name: "RunnerRemoved", Level: slog.LevelInfo, Meaning: "A runner's registration was removed; it gets no more requests or orders.", Action: "None."}
@@ -74,7 +75,7 @@
 		PeerJoined, PeerLost, LinkUp, LinkDown,
 		CallUnknown, ClaimsUnavailable,
 		AnswerCut, AnswerResumed, ForeignAnswerDropped,
-		CallAnswered, CallRefused, CallFailed, CallAborted, CallerLeft, SendFailed, StreamResumed,
+		CallAnswered, CallRefused, CallFailed, CallAborted, CallerLeft, SendFailed, StreamResumed, ResponseEvicted,
 		RunnerRegistered, RunnerChanged, RunnerRemoved,
 		SettingsReloaded, SettingsUnusable, LinesDropped,
 		SectionSuspected, SectionQuarantined, SectionReleased,
--- /dev/null
+++ b/internal/serving/memory.go
@@ -0,0 +1,43 @@
+package serving
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cowsliparch/cowsliparch/internal/settings"
+)
+
+const (
+	// bufferDivisor is the part of a VM's memory that runners' responses may hold together until they are passed on. The heap
+	// grows to twice what is in use, and each request takes some 64 KiB besides.
+	bufferDivisor = 8
+	// defaultBufferBytes is the same if the VM's memory is unknown.
+	defaultBufferBytes = 32 << 20
+	// heapLimitPercent is the part of the memory up to which the heap may grow before the garbage collector runs more often.
+	heapLimitPercent = 75
+)
+
+// bufferBytes returns what runners' responses may hold together until they are passed on.
+func bufferBytes(vm settings.ServingVM) int64 {
+	if vm.MemoryMB <= 0 {
+		return defaultBufferBytes
+	}
+	return int64(vm.MemoryMB * (1 << 20) / bufferDivisor)
+}
+
+// HeapLimit returns the soft limit in bytes that the process is to set for its heap, or 0 if the VM's memory is unknown.
+func HeapLimit(vm settings.ServingVM) int64 {
+	return int64(vm.MemoryMB * (1 << 20) * heapLimitPercent / 100)
+}
+
+func (s *Server) registerBufferMetrics() {
+	s.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "cowsliparch_held_response_bytes",
+			Help: "Bytes of runners' responses that are held until they can be passed on.",
+		}, func() float64 { return float64(s.buffers.Held()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "cowsliparch_responses_evicted_total",
+			Help: "Responses given up because all together held too much.",
+		}, func() float64 { return float64(s.buffers.Evicted()) }),
+	)
+}
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cowsliparch/cowsliparch/internal/buffer"
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/cluster"
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
@@ -45,6 +46,7 @@
 	watcher     *registry.Watcher
 	tracker     *dispatch.Tracker
 	retryBudget *dispatch.RetryBudget
+	buffers     *buffer.Budget
 	dispatcher  *dispatch.Dispatcher
 	demand      *orders.Meter
 	lease       *orderlease.Lease
@@ -85,6 +87,7 @@
 		}),
 		retryBudget: dispatch.NewRetryBudget(retryLimits(d.Settings), d.Clock.Now()),
 		demand:      orders.NewMeter(d.Clock.Now()),
+		buffers:     buffer.NewBudget(bufferBytes(d.Settings.VM)),
 		incarnation: uuid.NewString(),
 		startedAt:   d.Clock.Now(),
 	}
@@ -111,6 +114,7 @@
 		RetryBudget: s.retryBudget,
 		Sender:      d.Sender,
 		Demand:      &demandRecorder{server: s},
+		Buffers:     s.buffers,
 		Guard:       s.guard,
 		Metrics:     dispatch.NewMetrics(s.registry),
 		Clock:       d.Clock,
@@ -118,6 +122,7 @@
 	})
 	s.initControl()
 	s.registerGauges()
+	s.registerBufferMetrics()
 	return s, s.listen()
 }
 
--- a/internal/settings/serving.go
+++ b/internal/settings/serving.go
@@ -24,6 +24,8 @@
 	MetricsAddress string
 	// FirstStart is true when the whole system starts for the first time, so that runners are still registering.
 	FirstStart bool
+	// MemoryMB is the VM's memory in MB, or 0 if it is unknown.
+	MemoryMB float64
 	// LinkMbit is the bandwidth of the VM's network link in Mbit/s, or 0 if it is unknown.
 	LinkMbit float64
 	// Regions maps each failure domain to its region.
@@ -143,6 +145,14 @@
 			description: "Whether this is the first start of the whole system.",
 			set:         boolean(func(s *Serving) *bool { return &s.VM.FirstStart }),
 		},
+		{
+			section:     "VM",
+			name:        "MemoryMB",
+			example:     "284",
+			allowed:     between(0, 10000000),
+			description: "The memory of this VM in MB; it limits what the process holds of runners' responses.",
+			set:         decimal(func(s *Serving) *float64 { return &s.VM.MemoryMB }, 0, 10000000),
+		},
 		{
 			section:     "VM",
 			name:        "LinkMbit",
--- a/pkg/cmd/serve/serve.go
+++ b/pkg/cmd/serve/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jonboulle/clockwork"
@@ -58,6 +59,9 @@
 	if err != nil {
 		return cmdutil.ReportInvalid(opts.IO, err)
 	}
+	if limit := serving.HeapLimit(s.VM); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	writer := logbuffer.New(opts.IO.Out)
 	logCtx, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
 	flushed := make(chan struct{})
