event, logbuffer: bound what log lines hold of others' bytes

Callers could lose their VM to its memory while standard output is not read: an error of a malformed head quotes the head, up to 64 KiB of it, and the buffer of log lines was limited to 8192 lines, so to half a gigabyte of such lines. Found by reading, as a path on which a VM holds what runners send; not seen in a run.

The text of an error in an event is cut off at 1 KiB, and the buffer is limited to 4 MiB besides its lines. TestErrorsAreCutOff and TestLongLinesAreBounded failed before.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 )
 
 // Event is one kind of log line, which operators identify by its number.
@@ -23,7 +24,14 @@
 	logger.LogAttrs(context.Background(), e.Level, e.Name, all...)
 }
 
-// Error returns the attribute that holds an error in an event.
+// maxErrorBytes limits the text of an error in an event: it may quote what others have sent.
+const maxErrorBytes = 1 << 10
+
+// Error returns the attribute that holds an error in an event, cut off at a limit.
 func Error(err error) slog.Attr {
-	return slog.String("Error", err.Error())
+	text := err.Error()
+	if len(text) > maxErrorBytes {
+		text = strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+	}
+	return slog.String("Error", text)
 }
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -1,9 +1,12 @@
 package event_test
 
 import (
+	"errors"
 	"flag"
 	"os"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/require"
 
@@ -23,6 +26,14 @@
 	require.Equal(t, event.Markdown(), string(page))
 }
 
+// An error may quote a response head of many KiB; its event must not.
+func TestErrorsAreCutOff(t *testing.T) {
+	require.Equal(t, "short", event.Error(errors.New("short")).Value.String())
+	text := event.Error(errors.New(strings.Repeat("ä", 40<<10))).Value.String()
+	require.Less(t, len(text), 2<<10)
+	require.True(t, utf8.ValidString(text))
+}
+
 func TestCatalogueNumbersAscend(t *testing.T) {
 	last := 0
 	for _, e := range event.Catalogue() {
--- a/internal/logbuffer/writer.go
+++ b/internal/logbuffer/writer.go
@@ -6,13 +6,17 @@
 	"sync/atomic"
 )
 
-// queueLines is the capacity of the buffer in lines, which is about 4 MB when full.
-const queueLines = 8192
+const (
+	// queueLines is the capacity of the buffer in lines, queueBytes that in bytes.
+	queueLines = 8192
+	queueBytes = 4 << 20
+)
 
 // Writer is an io.Writer that queues log lines, which Run writes to the output in its own goroutine.
 type Writer struct {
 	output  io.Writer
 	lines   chan []byte
+	queued  atomic.Int64
 	dropped atomic.Uint64
 }
 
@@ -26,14 +30,23 @@
 
 // Write implements io.Writer; it never blocks and never fails, but drops the line if the buffer is full.
 func (w *Writer) Write(line []byte) (int, error) {
+	if w.queued.Add(int64(len(line))) > queueBytes {
+		w.drop(line)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
-		w.dropped.Add(1)
+		w.drop(line)
 	}
 	return len(line), nil
 }
 
+func (w *Writer) drop(line []byte) {
+	w.queued.Add(-int64(len(line)))
+	w.dropped.Add(1)
+}
+
 // Dropped returns the number of lines that were dropped.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
@@ -42,6 +55,7 @@
 	for {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			if _, err := w.output.Write(line); err != nil {
 				w.dropped.Add(1)
 			}
@@ -56,6 +70,7 @@
 	for {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			if _, err := w.output.Write(line); err != nil {
 				return
 			}
--- a/internal/logbuffer/writer_test.go
+++ b/internal/logbuffer/writer_test.go
@@ -41,6 +41,26 @@
 	<-done
 }
 
+// Lines wait for an output that is blocked, however long they are, within a limit of bytes.
+func TestLongLinesAreBounded(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	writer := logbuffer.New(out)
+	line := make([]byte, 60<<10)
+	for range 200 {
+		_, err := writer.Write(line)
+		require.NoError(t, err)
+	}
+	require.GreaterOrEqual(t, int(writer.Dropped())*len(line), 200*len(line)-4<<20)
+	close(out.release)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, writer.Run(ctx))
+	dropped := writer.Dropped()
+	_, err := writer.Write(line)
+	require.NoError(t, err)
+	require.Equal(t, dropped, writer.Dropped(), "there is room again")
+}
+
 func TestQueuedLinesAreFlushed(t *testing.T) {
 	var out bytes.Buffer
 	writer := logbuffer.New(&out)
