serving: refuse requests that come late in a planned stop

Callers whose request became whole late in the planned stop of a VM were cut off at its end without an answer, also those whose request may run once: the VM had passed it on. Others had their connection closed once their request was read.

Cause: readiness is withdrawn and, after 2.6 s, connections are no longer accepted, but nothing ended the admission of requests. A body that arrives slowly across that moment was passed on at any time later; a request on a connection that was accepted and unused was read and dropped by the HTTP server (Shutdown). The release of the lease, up to 1 s while the store is away, delayed all of it.

Requests that are whole 2.9 s after the stop or later are refused with 503, not run, so that their callers turn to other VMs at once; connections without a request are closed at 2.6 s as before. All is counted from the beginning of the stop.

--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -27,16 +27,6 @@
 	"github.com/cowsliparch/cowsliparch/internal/settings"
 )
 
-const (
-	// drainDelay is how long connections are still accepted after readiness is withdrawn: the load balancer probes once a
-	// second and removes the VM after the second failed probe.
-	drainDelay = 2600 * time.Millisecond
-	// stopMargin is how long before the stop timeout the process exits by itself; at the timeout it is killed from outside.
-	stopMargin = 350 * time.Millisecond
-	// releaseTimeout bounds the release of the lease, which delays draining.
-	releaseTimeout = time.Second
-)
-
 // Server runs the process of an entry VM.
 type Server struct {
 	Dependencies
@@ -57,6 +47,8 @@
 	spoke       *cluster.Spoke
 	guard       *promptguard.Guard
 	stopping    atomic.Bool
+	// admissionEnded is set during a stop once callers must have turned to other VMs.
+	admissionEnded atomic.Bool
 	// settings is the newest valid settings; Settings is what the process started with.
 	settings atomic.Pointer[settings.Serving]
 	// incarnation identifies this run of the process.
@@ -224,6 +216,9 @@
 // Stopping reports whether a graceful stop has begun.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
+// AdmissionEnded reports whether a graceful stop has come so far that no further request is taken.
+func (s *Server) AdmissionEnded() bool { return s.admissionEnded.Load() }
+
 // Run serves until the context ends, then stops gracefully.
 func (s *Server) Run(ctx context.Context) error {
 	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
@@ -233,6 +228,8 @@
 		group.Go(func() error { return loop(control) })
 	}
 	callerServer, readyServer, peerServer, metricsServer := s.callerServer(), s.readyServer(), s.peerServer(control), s.metricsServer()
+	connections := newBusyConnections()
+	callerServer.ConnState = connections.track
 	group.Go(func() error { return serve(callerServer, s.callerListener) })
 	group.Go(func() error { return serve(readyServer, s.readyListener) })
 	group.Go(func() error { return serve(peerServer, s.peerListener) })
@@ -246,7 +243,7 @@
 	s.stopping.Store(true)
 	event.EntryStopping.Log(s.Logger)
 	s.releaseLease()
-	s.drain(callerServer, stopStarted)
+	s.drain(callerServer, connections, stopStarted)
 	stopControl()
 	_ = readyServer.Close()
 	_ = peerServer.Close()
@@ -254,30 +251,9 @@
 	return group.Wait()
 }
 
-// releaseLease gives up the order lease.
-func (s *Server) releaseLease() {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	s.lease.Release(ctx)
-}
-
-// drain accepts connections a little longer, then waits until the requests in flight have ended or the stop timeout is near.
-func (s *Server) drain(server *http.Server, stopStarted time.Time) {
-	s.Clock.Sleep(drainDelay)
-	deadline := stopStarted.Add(s.currentSettings().Limits.StopTimeout - stopMargin)
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(s.Clock.Now()))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		event.StopDeadlinePassed.Log(s.Logger, event.Error(err))
-		_ = server.Close()
-		return
-	}
-	event.EntryStopped.Log(s.Logger)
-}
-
 func serve(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- /dev/null
+++ b/internal/serving/stop.go
@@ -0,0 +1,84 @@
+package serving
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/event"
+)
+
+const (
+	// drainDelay is how long connections are still accepted after readiness is withdrawn: the load balancer probes once a second
+	// and removes the VM after the second failed probe.
+	drainDelay = 2600 * time.Millisecond
+	// admissionDelay is how long requests are still taken; callers send them at once on a connection that was accepted.
+	admissionDelay = drainDelay + 300*time.Millisecond
+	// stopMargin is how long before the stop timeout the process exits by itself; at the timeout it is killed from outside.
+	stopMargin = 350 * time.Millisecond
+	// releaseTimeout bounds the release of the lease.
+	releaseTimeout = time.Second
+	// stopPollInterval is the pause between two checks whether all requests have ended.
+	stopPollInterval = 10 * time.Millisecond
+)
+
+// releaseLease gives up the order lease.
+func (s *Server) releaseLease() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	s.lease.Release(ctx)
+}
+
+// drain takes requests a little longer and refuses later ones, until those in flight have ended or the stop timeout is near. It does
+// not call Shutdown before, which closes connections whose request was just read.
+func (s *Server) drain(server *http.Server, connections *busyConnections, stopStarted time.Time) {
+	s.sleepUntil(stopStarted.Add(drainDelay))
+	_ = s.callerListener.Close()
+	server.SetKeepAlivesEnabled(false)
+	s.sleepUntil(stopStarted.Add(admissionDelay))
+	s.admissionEnded.Store(true)
+	deadline := stopStarted.Add(s.currentSettings().Limits.StopTimeout - stopMargin)
+	for connections.count() > 0 && s.Clock.Now().Before(deadline) {
+		s.Clock.Sleep(stopPollInterval)
+	}
+	if n := connections.count(); n > 0 {
+		event.StopDeadlinePassed.Log(s.Logger, slog.Int("Calls", n))
+	} else {
+		event.EntryStopped.Log(s.Logger)
+	}
+	_ = server.Close()
+}
+
+func (s *Server) sleepUntil(t time.Time) { s.Clock.Sleep(t.Sub(s.Clock.Now())) }
+
+// busyConnections counts the connections with a request in progress.
+type busyConnections struct {
+	mu   sync.Mutex
+	busy map[net.Conn]struct{}
+}
+
+func newBusyConnections() *busyConnections {
+	return &busyConnections{
+		busy: make(map[net.Conn]struct{}),
+	}
+}
+
+// track is the ConnState hook of the server.
+func (b *busyConnections) track(c net.Conn, state http.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state == http.StateActive {
+		b.busy[c] = struct{}{}
+	} else {
+		delete(b.busy, c)
+	}
+}
+
+func (b *busyConnections) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.busy)
+}
--- a/pkg/cmd/serve/serve.go
+++ b/pkg/cmd/serve/serve.go
@@ -109,10 +109,11 @@
 		Logger:        logger,
 		Ingress: func(server *serving.Server) http.Handler {
 			return &platform.Ingress{
-				Serve:     server.Serve,
-				BodyLimit: server.BodyLimit,
-				Stopping:  server.Stopping,
-				Clock:     clock,
+				Serve:          server.Serve,
+				BodyLimit:      server.BodyLimit,
+				Stopping:       server.Stopping,
+				AdmissionEnded: server.AdmissionEnded,
+				Clock:          clock,
 			}
 		},
 	})
