serving: answer the requests that a planned stop can't complete

Callers whose request was in progress at the end of the time for a stop got a closed connection and no answer, whether it had been sent to a runner or still waited for one.

Cause: at the end, the server closes all connections. Nothing told the requests.

The context of all requests is canceled 150 ms before the connections are closed. A request that may have run gets 502, which promises nothing; one that was never sent gets 503, not run. A response that has begun is broken off as before.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -87,6 +87,9 @@
 	Left Outcome = "Left"
 )
 
+// ErrStopping is the cause with which the context of a request is canceled when this VM must stop.
+var ErrStopping = &CanceledError{Cause: "this VM stops"}
+
 // errDeadline and errSilent are the causes with which an attempt is canceled.
 var (
 	errDeadline = &CanceledError{Cause: "the request's time is over"}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -161,8 +161,15 @@
 	return refused
 }
 
-// handleCancel ends a request whose caller disconnected or whose deadline has passed.
+// handleCancel ends a request whose caller disconnected, whose deadline has passed or whose VM stops.
 func (c *call) handleCancel(ctx context.Context) *refusal.Refusal {
+	mayHaveRun := c.mayHaveRun || c.inProgress()
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		if !mayHaveRun {
+			return refusal.New(http.StatusServiceUnavailable, refusal.Stopping, ErrStopping.Cause)
+		}
+		return c.giveUp(refusal.New(http.StatusBadGateway, refusal.Stopping, ErrStopping.Cause).WithRan(refusal.Unknown))
+	}
 	if !errors.Is(context.Cause(ctx), errDeadline) {
 		c.outcome = Left
 		// A caller that only ended its side of the connection must not take what it got for a whole response.
@@ -170,7 +177,7 @@
 		return nil
 	}
 	refused := refusal.New(http.StatusGatewayTimeout, refusal.TooLate, errDeadline.Cause)
-	if c.mayHaveRun || c.current != nil || c.standby != nil {
+	if mayHaveRun {
 		refused = refused.WithRan(refusal.Unknown)
 	}
 	return c.giveUp(refused)
--- a/internal/serving/http.go
+++ b/internal/serving/http.go
@@ -31,6 +31,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          debugLogger(s),
+		BaseContext:       func(net.Listener) context.Context { return s.requests },
 	}
 }
 
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -47,6 +47,9 @@
 	spoke       *cluster.Spoke
 	guard       *promptguard.Guard
 	stopping    atomic.Bool
+	// requests is the context of all requests of callers; cancelRequests ends it.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
 	// admissionEnded is set during a stop once callers must have turned to other VMs.
 	admissionEnded atomic.Bool
 	// settings is the newest valid settings; Settings is what the process started with.
@@ -84,6 +87,7 @@
 		startedAt:   d.Clock.Now(),
 	}
 	s.settings.Store(&d.Settings)
+	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
 	s.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	s.watcher = registry.New(d.Source, s.catalog, s.roster, s, registry.Options{
 		FirstStart:   d.Settings.VM.FirstStart,
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/event"
 )
 
@@ -19,6 +20,8 @@
 	admissionDelay = drainDelay + 300*time.Millisecond
 	// stopMargin is how long before the stop timeout the process exits by itself; at the timeout it is killed from outside.
 	stopMargin = 350 * time.Millisecond
+	// answerTime is the time before that in which requests that can't be completed are answered.
+	answerTime = 150 * time.Millisecond
 	// releaseTimeout bounds the release of the lease.
 	releaseTimeout = time.Second
 	// stopPollInterval is the pause between two checks whether all requests have ended.
@@ -41,17 +44,27 @@
 	s.sleepUntil(stopStarted.Add(admissionDelay))
 	s.admissionEnded.Store(true)
 	deadline := stopStarted.Add(s.currentSettings().Limits.StopTimeout - stopMargin)
-	for connections.count() > 0 && s.Clock.Now().Before(deadline) {
-		s.Clock.Sleep(stopPollInterval)
-	}
-	if n := connections.count(); n > 0 {
-		event.StopDeadlinePassed.Log(s.Logger, slog.Int("Calls", n))
-	} else {
+	if s.awaitIdle(connections, deadline.Add(-answerTime)) {
 		event.EntryStopped.Log(s.Logger)
+	} else {
+		event.StopDeadlinePassed.Log(s.Logger, slog.Int("Calls", connections.count()))
+		s.cancelRequests(dispatch.ErrStopping)
+		s.awaitIdle(connections, deadline)
 	}
 	_ = server.Close()
 }
 
+// awaitIdle waits until no request is in progress, at most until a time, and reports whether that is so.
+func (s *Server) awaitIdle(connections *busyConnections, until time.Time) bool {
+	for connections.count() > 0 {
+		if !s.Clock.Now().Before(until) {
+			return false
+		}
+		s.Clock.Sleep(stopPollInterval)
+	}
+	return true
+}
+
 func (s *Server) sleepUntil(t time.Time) { s.Clock.Sleep(t.Sub(s.Clock.Now())) }
 
 // busyConnections counts the connections with a request in progress.
