dispatch: avoid rested connections where no other attempt is possible

Callers got 502 for requests that no runner had received, and could not try them again if they may run once: the runner had forgotten the connection, which had rested.

Cause: a connection is used until its idle timeout, 4 s if the runner states none. A reset after a request was written does not tell whether the request has run, so one that may run once has no second chance, and one that may be repeated can meet a forgotten connection at both of its attempts.

First attempts of others use rested ones as before, since new connections are dear to runners.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -207,6 +207,7 @@
 		Remaining:   c.deadline.Sub(c.d.Clock.Now()),
 		ResumeAfter: c.lastEventID,
 		Priority:    min(max(c.route.Priority, 0), lowestPriority),
+		Fresh:       !c.route.Idempotent() || c.attempts > 1,
 	}
 	if c.service.MaxConnections > 0 && runner != nil {
 		a.MaxConnections = max(c.service.MaxConnections*connectionPercent/100/max(c.d.VMs(), 1), minConnections)
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -17,6 +17,9 @@
 	ResumeAfter string
 	// Priority ranks requests at a runner; 0 comes first.
 	Priority int
+	// Fresh is set if a connection that the runner may have forgotten is to be avoided: the request may run only once, or an
+	// attempt at it has failed.
+	Fresh bool
 	// OnHeadRead is to be called with how much was read of the response until its head is complete; if it fails, the attempt is to
 	// be given up.
 	OnHeadRead func(bytes int) error
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -140,7 +140,7 @@
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		c := h.idle[i]
 		expired := now.Sub(c.idleSince) >= c.idleTimeout
-		if !expired && !c.suits(target) {
+		if !expired && (target.MaxRest > 0 && now.Sub(c.idleSince) >= target.MaxRest || !c.suits(target)) {
 			continue
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -25,6 +25,8 @@
 	Address string
 	// MaxConnections limits this VM's connections to the address; 0 means no limit.
 	MaxConnections int
+	// MaxRest is how long a connection may have been idle to be used again; 0 means its idle timeout.
+	MaxRest time.Duration
 	// ResponseID returns the ID of the request to which a response with this header belongs, or an empty string if it has none; if
 	// ResponseID is nil, every response on a connection belongs to the request that was sent last.
 	ResponseID func(http.Header) string
