buffer: keep room for streams, and count nothing after an attempt's end

Callers could have lost a sound body that is collected, of up to 1 MiB, to streams that hold less but can't be passed on; a body that is collected can, so it is now evicted last and bodies take at most half. The reader of an attempt could have counted a head after the attempt had ended, which would have taken from the budget for good; a share that was released counts nothing.

--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -13,9 +13,11 @@
 	evicted atomic.Uint64
 
 	mu sync.Mutex
-	// claimed is what the shares hold that are not evicted; those that hold anything are in shares.
-	claimed int64
-	shares  map[*Share]struct{}
+	// claimed is what the shares hold that are not evicted, optional the part of that which TryHold claimed. Those that hold
+	// anything are in shares.
+	claimed  int64
+	optional int64
+	shares   map[*Share]struct{}
 }
 
 // NewBudget returns a budget with a limit in bytes.
@@ -44,9 +46,11 @@
 type Share struct {
 	budget  *Budget
 	onEvict func(*EvictedError)
-	// held is guarded by the budget's lock.
-	held    int64
-	evicted atomic.Pointer[EvictedError]
+	// held, optional (whether TryHold claimed that) and released are guarded by the budget's lock.
+	held     int64
+	optional bool
+	released bool
+	evicted  atomic.Pointer[EvictedError]
 }
 
 // EvictedError reports that a response was given up because all responses together held too much, and it held the most.
@@ -62,15 +66,21 @@
 		strconv.FormatInt(e.Limit, 10)
 }
 
-// TryHold sets what the share holds if that fits into the budget, and reports whether it does.
+// TryHold sets what the share holds if there is room, and reports whether there is. What it claims takes at most half of the budget, and
+// is evicted only after all that Hold claimed.
 func (s *Share) TryHold(bytes int) bool {
 	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s.Evicted() != nil || b.claimed-s.held+int64(bytes) > b.limit {
+	more := int64(bytes) - s.held
+	optional := b.optional + more
+	if !s.optional {
+		optional = b.optional + int64(bytes)
+	}
+	if s.Evicted() != nil || b.claimed+more > b.limit || optional > b.limit/2 {
 		return false
 	}
-	b.set(s, int64(bytes))
+	b.set(s, int64(bytes), true)
 	return true
 }
 
@@ -79,7 +89,7 @@
 func (s *Share) Hold(bytes int) error {
 	b := s.budget
 	b.mu.Lock()
-	b.set(s, int64(bytes))
+	b.set(s, int64(bytes), false)
 	var victims []*Share
 	for b.claimed > b.limit {
 		victims = append(victims, b.evictLargest())
@@ -94,40 +104,60 @@
 	return nil
 }
 
-// Release ends the share.
+// Release ends the share, which holds nothing from then on.
 func (s *Share) Release() {
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
-	s.budget.set(s, 0)
+	s.budget.set(s, 0, false)
+	s.released = true
 }
 
 // Evicted returns why the share was evicted, or nil if it was not.
 func (s *Share) Evicted() *EvictedError { return s.evicted.Load() }
 
 // set changes what a share holds; the caller holds the lock.
-func (b *Budget) set(s *Share, bytes int64) {
+func (b *Budget) set(s *Share, bytes int64, optional bool) {
+	if s.released {
+		return
+	}
 	b.held.Add(bytes - s.held)
 	if s.Evicted() == nil {
-		b.claimed += bytes - s.held
+		b.unclaim(s)
 		if bytes > 0 {
-			b.shares[s] = struct{}{}
-		} else {
-			delete(b.shares, s)
+			b.claim(s, bytes, optional)
 		}
 	}
 	s.held = bytes
 }
 
+// claim counts a share that holds something; the caller holds the lock.
+func (b *Budget) claim(s *Share, bytes int64, optional bool) {
+	b.shares[s] = struct{}{}
+	b.claimed += bytes
+	if s.optional = optional; optional {
+		b.optional += bytes
+	}
+}
+
+// unclaim ends that; the caller holds the lock.
+func (b *Budget) unclaim(s *Share) {
+	delete(b.shares, s)
+	b.claimed -= s.held
+	if s.optional {
+		b.optional -= s.held
+	}
+	s.optional = false
+}
+
 // evictLargest evicts the share that holds most and returns it; the caller holds the lock.
 func (b *Budget) evictLargest() *Share {
 	var largest *Share
 	for s := range b.shares {
-		if largest == nil || s.held > largest.held {
+		if largest == nil || evictedBefore(s, largest) {
 			largest = s
 		}
 	}
-	delete(b.shares, largest)
-	b.claimed -= largest.held
+	b.unclaim(largest)
 	b.evicted.Add(1)
 	largest.evicted.Store(&EvictedError{
 		Bytes: largest.held,
@@ -135,3 +165,11 @@
 	})
 	return largest
 }
+
+// evictedBefore reports whether a share is evicted before another one.
+func evictedBefore(s, other *Share) bool {
+	if s.optional != other.optional {
+		return other.optional
+	}
+	return s.held > other.held
+}
--- a/internal/buffer/budget_test.go
+++ b/internal/buffer/budget_test.go
@@ -42,19 +42,48 @@
 	require.Nil(t, small.Evicted())
 }
 
-func TestTryHoldEvictsNothing(t *testing.T) {
+func TestTryHoldTakesHalfAndEvictsNothing(t *testing.T) {
 	b := buffer.NewBudget(100)
-	first, second := b.Share(ignore), b.Share(ignore)
-	require.True(t, first.TryHold(60))
-	require.False(t, second.TryHold(41))
-	require.True(t, second.TryHold(40))
-	require.True(t, first.TryHold(0))
-	require.EqualValues(t, 40, b.Held())
+	first, second, third := b.Share(ignore), b.Share(ignore), b.Share(ignore)
+	require.True(t, first.TryHold(30))
+	require.True(t, first.TryHold(40))
+	require.False(t, second.TryHold(11), "more than half")
+	require.True(t, second.TryHold(10))
+	require.NoError(t, third.Hold(50))
+	require.True(t, second.TryHold(0))
+	require.NoError(t, third.Hold(60))
+	require.False(t, second.TryHold(1), "all is taken")
 	require.Zero(t, b.Evicted())
 }
 
+// What is only collected for its callers' sake can be passed on, so it outlives what can't.
+func TestOptionalSharesAreEvictedLast(t *testing.T) {
+	b := buffer.NewBudget(100)
+	body, small, large := b.Share(ignore), b.Share(ignore), b.Share(ignore)
+	require.True(t, body.TryHold(50))
+	require.NoError(t, small.Hold(20))
+	require.NoError(t, large.Hold(30))
+	require.NoError(t, small.Hold(25))
+	require.NotNil(t, large.Evicted())
+	require.Nil(t, body.Evicted())
+	require.True(t, body.TryHold(40), "its claim may change")
+	require.NoError(t, small.Hold(60))
+}
+
+// An attempt may be counted by its reader after it has ended.
+func TestReleasedShareHoldsNothing(t *testing.T) {
+	b := buffer.NewBudget(100)
+	s := b.Share(ignore)
+	require.NoError(t, s.Hold(50))
+	s.Release()
+	require.NoError(t, s.Hold(60))
+	require.True(t, s.TryHold(10))
+	require.Zero(t, b.Held())
+	require.True(t, b.Share(ignore).TryHold(50))
+}
+
 // However shares grow at once, nothing is held once all are released.
-func TestReleasedSharesHoldNothing(t *testing.T) {
+func TestSharesOfManyGoroutinesAreReleased(t *testing.T) {
 	const limit = 10_000
 	b := buffer.NewBudget(limit)
 	var shares sync.WaitGroup
@@ -69,5 +98,5 @@
 	shares.Wait()
 	require.Zero(t, b.Held())
 	whole := b.Share(ignore)
-	require.True(t, whole.TryHold(limit))
+	require.NoError(t, whole.Hold(limit))
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -165,10 +165,11 @@
 func (c *call) handleCancel(ctx context.Context) *refusal.Refusal {
 	mayHaveRun := c.mayHaveRun || c.inProgress()
 	if errors.Is(context.Cause(ctx), ErrStopping) {
-		if !mayHaveRun {
-			return refusal.New(http.StatusServiceUnavailable, refusal.Stopping, ErrStopping.Cause)
+		refused := refusal.New(http.StatusServiceUnavailable, refusal.Stopping, ErrStopping.Cause)
+		if mayHaveRun {
+			refused = refusal.New(http.StatusBadGateway, refusal.Stopping, ErrStopping.Cause).WithRan(refusal.Unknown)
 		}
-		return c.giveUp(refusal.New(http.StatusBadGateway, refusal.Stopping, ErrStopping.Cause).WithRan(refusal.Unknown))
+		return c.giveUp(refused)
 	}
 	if !errors.Is(context.Cause(ctx), errDeadline) {
 		c.outcome = Left
