catalog, dispatch: types of client accounts and the interface of their quotas

Nothing uses them yet: without a limiter every request is admitted. Built; no behaviour changes, nothing measured.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -45,7 +45,9 @@
 	// Buffers limits what is held of all responses together.
 	Buffers *buffer.Budget
 	// Guard may be nil; then every prompt may be sent.
-	Guard   SectionGuard
+	Guard SectionGuard
+	// Quotas may be nil; then no account has a limit.
+	Quotas  QuotaLimiter
 	Metrics *Metrics
 	Clock   clockwork.Clock
 	Logger  *slog.Logger
@@ -61,6 +63,9 @@
 	if d.Guard == nil {
 		d.Guard = noGuard{}
 	}
+	if d.Quotas == nil {
+		d.Quotas = noQuota{}
+	}
 	return &Dispatcher{
 		Dependencies: d,
 	}
