catalog: look up client accounts by key, and rank requests by account and route

Callers see no change: no configuration has accounts yet.

A catalog keeps digests under a secret of the process in place of the keys, so that neither a printed struct nor the time of a look-up tells anything about a key. A key of two accounts belongs to the first.

--- a/internal/catalog/account.go
+++ b/internal/catalog/account.go
@@ -3,8 +3,8 @@
 // Account is a client account: the API keys that identify its requests, its priority and its quota.
 type Account struct {
 	Name string
-	// Keys lists the API keys; they must not be logged or passed on.
-	Keys []string
+	// Keys lists the digests of the API keys; the keys themselves are not kept.
+	Keys []KeyDigest
 	// Priority ranks the accounts, 0 is the highest priority; nil if the configuration gives none.
 	Priority *int
 	Quota    Quota
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,10 +1,7 @@
 package catalog
 
 import (
-	"math"
-	"slices"
 	"strings"
-	"time"
 )
 
 // Catalog is one version of the operators' configuration; it is immutable.
@@ -15,6 +12,12 @@
 	// routesByHost is keyed by host names in lower case.
 	routesByHost map[string][]*Route
 	services     map[string]Service
+	accounts     []Account
+	// accountsByKey is keyed by digests that clients can't predict, so that the time of a look-up says nothing about a key.
+	accountsByKey map[KeyDigest]*Account
+	// ranks is nil without accounts; defaultPriority is that of requests whose account has no priority.
+	ranks           map[priorities]int
+	defaultPriority int
 }
 
 // New returns a catalog of the given version.
@@ -31,31 +34,12 @@
 		c.routesByHost[host] = append(c.routesByHost[host], &routes[i])
 	}
 	for _, service := range services {
-		service.MinObjective, service.FirstPriority = urgency(routes, service.Name)
+		service.MinObjective, service.FirstPriority = c.urgency(service.Name)
 		c.services[service.Name] = service
 	}
 	return c
 }
 
-// urgency returns the shortest objective of the routes to a service, 0 if none has one, and the least priority number if others are
-// greater, or else -1.
-func urgency(routes []Route, service string) (shortest time.Duration, first int) {
-	first, last := math.MaxInt, math.MinInt
-	for _, route := range routes {
-		if !slices.ContainsFunc(route.Targets, func(t Target) bool { return t.Service == service }) {
-			continue
-		}
-		if route.Objective > 0 && (shortest == 0 || route.Objective < shortest) {
-			shortest = route.Objective
-		}
-		first, last = min(first, route.Priority), max(last, route.Priority)
-	}
-	if first >= last {
-		first = -1
-	}
-	return shortest, first
-}
-
 // Match returns the route of the host with the longest prefix of the path.
 func (c *Catalog) Match(host, path string) (*Route, bool) {
 	var best *Route
--- a/internal/catalog/route.go
+++ b/internal/catalog/route.go
@@ -34,6 +34,8 @@
 	// MaxAttempts is the number of runners that one request may be sent to; attempts that could not be sent don't count.
 	MaxAttempts int
 	Targets     []Target
+	// AllowAnonymous is set if requests without an API key are served although the configuration has accounts.
+	AllowAnonymous bool
 }
 
 // Target is a service that takes a share of a route's requests in proportion to its weight.
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -6,8 +6,8 @@
 type Service struct {
 	// MinObjective is the shortest objective of the routes to the service, 0 if none has one; New sets it.
 	MinObjective time.Duration
-	// FirstPriority is the priority of the most urgent routes to the service, which have the least number, or -1 if all routes are
-	// equally urgent; New sets it.
+	// FirstPriority is the rank, as by Catalog.Rank, of the most urgent requests to the service, which have the least number, or -1 if
+	// all are equally urgent; New and WithAccounts set it.
 	FirstPriority int
 	Name          string
 	// MaxConnections is the number of connections that one runner accepts from all VMs together.
