patience, refusal: Retry-After that never ends before a wait; codes of accounts

Callers see no change yet. RetryAfterWait spreads the return of clients over half of their wait, at least 150 ms, and never below it: RetryAfter spreads around its mean, so that half of the clients over a quota would come back too early. UnknownAccount and OverQuota are the codes for 401 and 429.

--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -28,3 +28,9 @@
 	}
 	return time.Duration(float64(mean) * (1 - spread/2 + spread*random))
 }
+
+// RetryAfterWait returns when a caller that can't be served before a wait has passed should come back: not before that, and spread, so
+// that callers refused together don't return together; random is in [0, 1).
+func RetryAfterWait(wait time.Duration, random float64) time.Duration {
+	return wait + time.Duration(float64(max(wait, minRetryAfter))*spread*random)
+}
--- a/internal/patience/patience_test.go
+++ b/internal/patience/patience_test.go
@@ -24,3 +24,13 @@
 	require.False(t, patience.WorthSending(time.Second, 500*time.Millisecond))
 	require.True(t, patience.WorthSending(time.Hour, 0), "the route has no objective")
 }
+
+// Guards against callers that come back before there is room, and against all of them coming back at once.
+func TestRetryAfterWaitIsSpreadAndNeverTooSoon(t *testing.T) {
+	for _, wait := range []time.Duration{time.Millisecond, time.Second, time.Minute} {
+		early, late := patience.RetryAfterWait(wait, 0), patience.RetryAfterWait(wait, 0.999)
+		require.GreaterOrEqual(t, early, wait)
+		require.Greater(t, late, early+100*time.Millisecond)
+		require.LessOrEqual(t, late, max(2*wait, 151*time.Millisecond))
+	}
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -52,6 +52,8 @@
 	UnknownYet         Code = "UnknownYet"
 	LogUnavailable     Code = "LogUnavailable"
 	QuarantinedPrompt  Code = "QuarantinedPrompt"
+	UnknownAccount     Code = "UnknownAccount"
+	OverQuota          Code = "OverQuota"
 )
 
 // Refusal is an error response that a caller gets in place of the response that it asked for.
