dispatch: check API keys and quotas, and rank requests by their account

Callers see no change until a configuration has accounts. Then a request with an unknown key, or without one on a route that does not allow it, is refused with 401 (UnknownAccount), and one over its account's quota with 429 (OverQuota). The cost is taken once, after the key check, and given back if no attempt can have run. Refused requests count neither as demand for a model nor for the retry budget. Attempts carry the account's name and the rank, which also decides what is refused first. Records name the account, and cowsliparch_account_requests_total counts by it.

The headers with the key are kept apart from the others and are passed on only if an attempt says so: a sender that ignores them can't give the key away. They are not printed. endAttempts now notes that attempts in progress may have run; their cost must not be given back.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -23,8 +23,6 @@
 	adapterPollInterval = 4 * time.Millisecond
 	// missingModelDelay is how long it takes, beyond the load itself, until a model that no runner has is loaded.
 	missingModelDelay = 500 * time.Millisecond
-	// lowestPriority is the largest priority number that runners accept.
-	lowestPriority = 9
 	// connectionPercent is the percentage of a runner's connections that all VMs together may use.
 	connectionPercent = 90
 	// minConnections is the number of connections to a runner that any VM may open.
@@ -40,6 +38,14 @@
 	service  catalog.Service
 	version  uint64
 	deadline time.Time
+	// accountsConfigured is set if the configuration has accounts; account is nil if the request has none.
+	accountsConfigured bool
+	account            *catalog.Account
+	// rank is the request's priority, as by catalog.Catalog.Rank.
+	rank int
+	// quotaTaken is set once cost was taken from the account's quota.
+	quotaTaken bool
+	cost       float64
 
 	// tried lists the runners chosen so far; attempts counts the attempts that reached a runner or may still do.
 	tried    []string
@@ -144,7 +150,7 @@
 // mayRefuse reports whether the request may still be refused because of its expected wait: it needs a model and has not been sent
 // yet. Runners begin the service's most urgent requests before others that wait, so those are always sent.
 func (c *call) mayRefuse() bool {
-	return c.service.Engine != nil && c.request.Model != "" && len(c.tried) == 0 && c.route.Priority > c.service.FirstPriority
+	return c.service.Engine != nil && c.request.Model != "" && len(c.tried) == 0 && c.rank > c.service.FirstPriority
 }
 
 // loadTime returns how long it takes until one more runner has loaded a model.
@@ -204,10 +210,12 @@
 // newAttempt returns the parameters of the next attempt.
 func (c *call) newAttempt(runner *roster.Runner) Attempt {
 	a := Attempt{
-		Remaining:   c.deadline.Sub(c.d.Clock.Now()),
-		ResumeAfter: c.lastEventID,
-		Priority:    min(max(c.route.Priority, 0), lowestPriority),
-		Fresh:       !c.route.Idempotent() || c.attempts > 1,
+		Remaining:    c.deadline.Sub(c.d.Clock.Now()),
+		ResumeAfter:  c.lastEventID,
+		Priority:     min(max(c.rank, 0), catalog.LowestPriority),
+		Account:      c.accountName(),
+		PassIdentity: !c.accountsConfigured,
+		Fresh:        !c.route.Idempotent() || c.attempts > 1,
 	}
 	if c.service.MaxConnections > 0 && runner != nil {
 		a.MaxConnections = max(c.service.MaxConnections*connectionPercent/100/max(c.d.VMs(), 1), minConnections)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -81,6 +81,7 @@
 	refused := c.resolveRoute()
 	if refused == nil {
 		refused = c.run(ctx)
+		c.returnQuota()
 	}
 	if refused != nil {
 		c.refuse(refused)
@@ -88,7 +89,8 @@
 	c.record()
 }
 
-// resolveRoute finds the route and the service of the request and sets its deadline.
+// resolveRoute finds the route, the account and the service of the request, sets its deadline and takes its cost from the account's
+// quota.
 func (c *call) resolveRoute() *refusal.Refusal {
 	current := c.d.Catalog()
 	if current == nil {
@@ -101,7 +103,13 @@
 		return refusal.New(http.StatusNotFound, refusal.UnknownService, "no route leads from "+c.request.Host+c.request.Path)
 	}
 	c.route = route
+	if refused := c.identify(current); refused != nil {
+		return refused
+	}
 	c.service, _ = current.Service(route.PickService(rand.IntN))
+	if refused := c.takeQuota(); refused != nil {
+		return refused
+	}
 	if c.service.Engine != nil && c.request.Model != "" {
 		c.d.Demand.RecordRequest(c.service.Name, c.request.Model, c.request.Adapter)
 	}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
 )
 
 // latencyBuckets are the histogram bounds of response times, in seconds.
@@ -17,6 +19,7 @@
 	duration       *prometheus.HistogramVec
 	failedSends    *prometheus.CounterVec
 	resumedStreams *prometheus.CounterVec
+	accounts       *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics registered with the registerer.
@@ -49,7 +52,11 @@
 			Help: "Streams that went on at another runner.",
 		}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.onTime, m.firstByte, m.duration, m.failedSends, m.resumedStreams)
+	m.accounts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cowsliparch_account_requests_total",
+		Help: "Requests with a known API key by client account and outcome.",
+	}, []string{"account", "outcome"})
+	r.MustRegister(m.requests, m.onTime, m.firstByte, m.duration, m.failedSends, m.resumedStreams, m.accounts)
 	return m
 }
 
@@ -59,6 +66,9 @@
 		priority = priorityLabel(c.route.Priority)
 	}
 	service := c.service.Name
+	if c.account != nil {
+		m.accounts.WithLabelValues(c.account.Name, string(c.outcome)).Inc()
+	}
 	m.requests.WithLabelValues(service, priority, string(c.outcome)).Inc()
 	m.duration.WithLabelValues(service, priority).Observe(now.Sub(c.request.Arrived).Seconds())
 	if c.firstByteAt.IsZero() {
@@ -77,5 +87,5 @@
 
 // priorityLabel limits the label to the priorities that runners accept.
 func priorityLabel(priority int) string {
-	return string(rune('0' + min(max(priority, 0), lowestPriority)))
+	return string(rune('0' + min(max(priority, 0), catalog.LowestPriority)))
 }
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -52,6 +52,9 @@
 		slog.Int64("LoadAgeMS", c.pick.loadAge.Milliseconds()),
 		slog.Int64("ScoreMS", c.pick.score.Milliseconds()),
 	)
+	if c.account != nil {
+		attrs = append(attrs, slog.String("Account", c.account.Name))
+	}
 	if c.reason != "" {
 		attrs = append(attrs, slog.String("Reason", c.reason))
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -11,11 +11,13 @@
 	ID     string
 	Method string
 	// URI is the path and query as the caller sent them.
-	URI    string
-	Path   string
-	Host   string
-	Header http.Header
-	Body   []byte
+	URI  string
+	Path string
+	Host string
+	// Header holds the headers to pass on, without those of Identity.
+	Header   http.Header
+	Identity Identity
+	Body     []byte
 	// Model and Adapter are empty for services without models.
 	Model        string
 	Adapter      string
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -17,6 +17,11 @@
 	ResumeAfter string
 	// Priority ranks requests at a runner; 0 comes first.
 	Priority int
+	// Account is the name of the request's account that the runner is told, or empty.
+	Account string
+	// PassIdentity is set if the headers of the request's Identity are passed on: no accounts are configured, and what clients and
+	// runners state to each other is not interpreted.
+	PassIdentity bool
 	// Fresh is set if a connection that the runner may have forgotten is to be avoided: the request may run only once, or an
 	// attempt at it has failed.
 	Fresh bool
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -144,7 +144,9 @@
 	}
 }
 
+// endAttempts ends the attempts that are still in progress; their requests may have run.
 func (c *call) endAttempts() {
+	c.mayHaveRun = c.mayHaveRun || c.inProgress()
 	for _, a := range []*attempt{c.current, c.standby} {
 		if a != nil {
 			c.end(a)
