--- a/internal/dispatch/quota_test.go
+++ b/internal/dispatch/quota_test.go
@@ -138,3 +138,25 @@
 	require.Equal(t, quotas.taken, quotas.returned)
 	require.Len(t, quotas.taken, 1)
 }
+
+// countingDemand counts requests to models.
+type countingDemand struct {
+	fakeDemand
+	requests int
+}
+
+func (d *countingDemand) RecordRequest(string, string, string) { d.requests++ }
+
+// Guards against models being loaded for requests that are refused for their key or quota.
+func TestRefusedRequestsAreNoDemand(t *testing.T) {
+	h := newHarness(t, stream(nil, "id: 1\n\n"))
+	quotas := withAccounts(h)
+	quotas.refusing = true
+	demand := &countingDemand{}
+	h.dispatcher.Demand = demand
+	h.serveWithKey(t, "/stream/", "other")
+	h.serveWithKey(t, "/stream/", largeKey)
+	require.Zero(t, demand.requests)
+	h.serveWithKey(t, "/stream/", smallKey)
+	require.Equal(t, 1, demand.requests)
+}
--- a/internal/patience/patience.go
+++ b/internal/patience/patience.go
@@ -12,6 +12,8 @@
 	maxShareOfTime = 1.0 / 3
 	// spread is the width of the range of Retry-After, relative to its mean.
 	spread = 0.5
+	// retryAfterUnit is the unit of Retry-After in responses, to which a shorter wait would be rounded.
+	retryAfterUnit = 10 * time.Millisecond
 )
 
 // WorthSending reports whether a request should be sent to a runner that is expected to take a time until the first token.
@@ -30,7 +32,8 @@
 }
 
 // RetryAfterWait returns when a caller that can't be served before a wait has passed should come back: not before that, and spread, so
-// that callers refused together don't return together; random is in [0, 1).
+// that callers refused together don't return together. It is a multiple of retryAfterUnit; random is in [0, 1).
 func RetryAfterWait(wait time.Duration, random float64) time.Duration {
-	return wait + time.Duration(float64(max(wait, minRetryAfter))*spread*random)
+	spreadWait := wait + time.Duration(float64(max(wait, minRetryAfter))*spread*random)
+	return (spreadWait + retryAfterUnit - 1).Truncate(retryAfterUnit)
 }
