--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -57,11 +57,13 @@
 	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
 }
 
-// ReportedLoad is the load that a runner reports of itself.
+// ReportedLoad is the load that a runner reports of itself, in requests.
 type ReportedLoad struct {
 	Running int
 	Waiting int
 	Slots   int
+	// Figure is how long work takes at the runner at the moment, in percent of the usual time; 0 if the runner does not report it.
+	Figure int
 }
 
 // Sender sends a request to a runner exactly once; it fails with endpoint.NotSentError, outbound.ConnectionLimitError or
