dispatch: prefer runners at which fewer streams pause for too long

Callers of routes with a target gap get fewer streams that pause for longer than it. The choice of a runner knew counts of requests only, while the pauses follow the speed of the runner's machine. The predicted share of late streams, times the service's shortest objective, now counts against a runner with a known pace. It is a penalty in the choice and not a part of the expected wait, so it leads to no refusal. The time that a request takes is scaled by the pace, so queues at slow runners count longer; for services without models also by a fresh figure. An unknown pace counts as the median.

The record of a request gets Pace, and a counter tells the streams that paused for too long.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -109,6 +109,7 @@
 	needs := requirements{
 		service: c.service.Name,
 		tried:   c.tried,
+		pauses:  c.pauseRequirement(),
 	}
 	if c.service.Engine != nil {
 		needs.model, needs.adapter = c.request.Model, c.request.Adapter
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -31,6 +31,9 @@
 	pause   time.Duration
 	// admit is the share of requests for the model that its runners can serve within the limit.
 	admit float64
+	// pace is the pace of the runner, 0 if it isn't known, and paceFactor how much longer requests take there than at the mean one.
+	pace       int
+	paceFactor float64
 }
 
 // requirements describes the runner that a request needs.
@@ -40,6 +43,8 @@
 	adapter string
 	// limit is the wait within which the runners should serve a request, 0 if there is none.
 	limit time.Duration
+	// pauses describes how the stream may pause.
+	pauses pauseRequirement
 	// tried lists the runners that the request was already sent to.
 	tried []string
 }
@@ -49,6 +54,7 @@
 func (t *Tracker) choose(view *roster.View, needs requirements, now time.Time) choice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.preparePaces(view, needs, now)
 	best := t.pickRunner(view, needs, now, false)
 	if best.runner == nil && best.withModel > 0 {
 		best = t.pickRunner(view, needs, now, true)
@@ -70,9 +76,11 @@
 	if needs.limit > 0 {
 		best.admit = t.picker.Admit(needs.limit, t.knownRate(needs.service, needs.model, now)*float64(len(t.compared))/float64(best.ready))
 	}
-	best.score = expected
+	// The preference among runners is no time that the caller waits.
+	best.score = expected - t.candidates[i].Penalty
 	best.inFlight = t.candidates[i].Own + t.candidates[i].Others
 	best.loadAge = t.candidates[i].Age
+	best.pace, best.paceFactor = t.knownPace(best.runner)
 	return best
 }
 
@@ -116,12 +124,12 @@
 	best.ready++
 	if len(t.compared) < maxCandidates {
 		t.compared = append(t.compared, runner)
-		t.candidates = append(t.candidates, t.candidate(runner, state, now))
+		t.candidates = append(t.candidates, t.candidate(runner, state, needs, now))
 		return
 	}
 	if i := int(t.random() * float64(best.ready)); i < maxCandidates {
 		t.compared[i] = runner
-		t.candidates[i] = t.candidate(runner, state, now)
+		t.candidates[i] = t.candidate(runner, state, needs, now)
 	}
 }
 
@@ -138,12 +146,13 @@
 }
 
 // candidate returns what is known of a runner's load; the caller holds the lock.
-func (t *Tracker) candidate(runner *roster.Runner, state *runnerState, now time.Time) loadbalance.Candidate {
+func (t *Tracker) candidate(runner *roster.Runner, state *runnerState, needs requirements, now time.Time) loadbalance.Candidate {
 	c := loadbalance.Candidate{
 		Base:        t.roundTrips.RoundTrip(runner.FailureDomain),
 		Slots:       runner.Slots,
 		ServiceTime: t.serviceTime(runner.Service),
 	}
+	t.applyPace(&c, runner, state, needs, now)
 	if state == nil {
 		return c
 	}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -13,6 +13,7 @@
 type Metrics struct {
 	requests       *prometheus.CounterVec
 	onTime         *prometheus.CounterVec
+	paused         *prometheus.CounterVec
 	firstByte      *prometheus.HistogramVec
 	duration       *prometheus.HistogramVec
 	failedSends    *prometheus.CounterVec
@@ -30,6 +31,10 @@
 			Name: "cowsliparch_requests_on_time_total",
 			Help: "Requests whose answer began within the route's objective and did not pause for too long.",
 		}, []string{"service", "priority"}),
+		paused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowsliparch_streams_paused_total",
+			Help: "Streams that paused for longer than the route allows.",
+		}, []string{"service", "priority"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "cowsliparch_request_first_seconds",
 			Help:    "Time from a request's arrival to the first piece of its answer.",
@@ -49,7 +54,7 @@
 			Help: "Streams that went on at another runner.",
 		}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.onTime, m.firstByte, m.duration, m.failedSends, m.resumedStreams)
+	r.MustRegister(m.requests, m.onTime, m.paused, m.firstByte, m.duration, m.failedSends, m.resumedStreams)
 	return m
 }
 
@@ -66,6 +71,9 @@
 	}
 	first := c.firstByteAt.Sub(c.request.Arrived)
 	m.firstByte.WithLabelValues(service, priority).Observe(first.Seconds())
+	if c.paused() {
+		m.paused.WithLabelValues(service, priority).Inc()
+	}
 	if c.outcome == Answered && !c.late() {
 		m.onTime.WithLabelValues(service, priority).Inc()
 	}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -52,6 +52,9 @@
 		slog.Int64("LoadAgeMS", c.pick.loadAge.Milliseconds()),
 		slog.Int64("ScoreMS", c.pick.score.Milliseconds()),
 	)
+	if c.pick.pace > 0 {
+		attrs = append(attrs, slog.Int("Pace", c.pick.pace))
+	}
 	if c.reason != "" {
 		attrs = append(attrs, slog.String("Reason", c.reason))
 	}
--- a/internal/dispatch/runnerstate.go
+++ b/internal/dispatch/runnerstate.go
@@ -41,7 +41,10 @@
 	backoff             time.Duration
 	backoffUntil        time.Time
 	observations        []observation
-	notice              notice
+	// figure is how long work took at the runner at figureAt, in percent of the usual time, 0 if it never reported that.
+	figure   int
+	figureAt time.Time
+	notice   notice
 }
 
 // observation is what was learned about a runner's models before its registration shows it.
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -23,6 +23,7 @@
 	serviceTimes map[string]time.Duration
 	// requestRates is the demand of all VMs for each model.
 	requestRates map[serviceModel]requestRate
+	paces        paces
 	// random returns a number in [0, 1).
 	random func() float64
 	// picker, compared and candidates are the memory of a choice.
@@ -56,6 +57,7 @@
 
 		serviceTimes: make(map[string]time.Duration),
 		requestRates: make(map[serviceModel]requestRate),
+		paces:        newPaces(),
 		random:       rand.Float64,
 	}
 }
@@ -87,6 +89,7 @@
 			delete(t.observed, id)
 		}
 	}
+	t.prunePaces(view, now)
 }
 
 // state returns what is known of a runner; the caller holds the lock.
@@ -139,6 +142,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.state(runner.ID).applyReport(report, now)
+	t.figureReported(runner.ID, report.Figure, now)
 }
 
 // Occupancy returns this VM's requests at the runners, and records them as announced to the other VMs.
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -178,7 +178,10 @@
 	now := c.d.Clock.Now()
 	c.outcome = Answered
 	c.d.Tracker.recordResult(a.pick.runner, true, now)
-	c.d.Tracker.recordServiceTime(c.service.Name, c.serviceTime(a.sent))
+	c.d.Tracker.recordServiceTime(c.service.Name, time.Duration(float64(c.serviceTime(a.sent))/a.pick.paceFactor))
+	if c.attempts == 1 {
+		c.d.Tracker.recordPauses(c.service.Name, c.pauseRequirement(), c.longestGap, a.pick.pace, now)
+	}
 	if c.request.Model != "" {
 		c.d.Demand.RecordDuration(c.service.Name, c.request.Model, now.Sub(a.sent), c.late())
 	}
@@ -192,9 +195,12 @@
 
 // late reports whether the response started after the objective or paused for longer than the route allows.
 func (c *call) late() bool {
-	return c.firstByteAt.Sub(c.request.Arrived) > c.route.Objective || (c.route.MaxEventGap > 0 && c.longestGap > c.route.MaxEventGap)
+	return c.firstByteAt.Sub(c.request.Arrived) > c.route.Objective || c.paused()
 }
 
+// paused reports whether the response paused for longer than the route allows.
+func (c *call) paused() bool { return c.route.MaxEventGap > 0 && c.longestGap > c.route.MaxEventGap }
+
 // streams reports whether a response is passed on event by event.
 func (c *call) streams(response *Response) bool {
 	return c.route.Kind == catalog.Streaming && response.successful()
--- a/internal/loadbalance/admit.go
+++ b/internal/loadbalance/admit.go
@@ -21,7 +21,7 @@
 			return 1
 		}
 		served += l.throughput
-		room += l.capacity(limit.Seconds()) - l.figure
+		room += l.capacity(limit.Seconds()+l.penalty) - l.figure
 	}
 	admissible := served + room/admissionInterval.Seconds()
 	return min(max(admissible/requestsPerSecond, 0), 1)
--- a/internal/loadbalance/pick.go
+++ b/internal/loadbalance/pick.go
@@ -20,6 +20,8 @@
 type Candidate struct {
 	// Base is the expected time of a request at the runner while it is idle.
 	Base time.Duration
+	// Penalty is added to the expected time in the choice among runners. It states a preference and is no time that a request waits.
+	Penalty time.Duration
 	// Own is the number of this VM's requests at the runner, Others that of the other VMs as of Age ago.
 	Own    int
 	Others int
@@ -38,9 +40,11 @@
 
 // load is the present state of a candidate as estimated, in seconds and requests.
 type load struct {
-	base  float64
-	level float64
-	slots float64
+	// base includes penalty.
+	base    float64
+	penalty float64
+	level   float64
+	slots   float64
 	// perRequest and perQueued are what a request adds to the time of the next one while there are free slots and beyond.
 	perRequest float64
 	perQueued  float64
@@ -70,7 +74,8 @@
 		ended := float64(c.Others) * (1 - math.Exp(-age/service))
 		arrivals += ended
 		l := load{
-			base:       c.Base.Seconds(),
+			base:       c.Base.Seconds() + c.Penalty.Seconds(),
+			penalty:    c.Penalty.Seconds(),
 			level:      float64(c.Own) + float64(c.Others) - ended,
 			slots:      math.Inf(1),
 			perRequest: requestCost.Seconds(),
