cluster, serving: share the paces of runners between VMs

A VM hears from a given runner about every 20 s, too rarely to tell the pace of its machine from a slow spell. Usage reports carry the lowest figures that a VM saw; the lease holder sends paces that change to all linked VMs, and all of them to a VM that links. Fleets without a fourth figure exchange the same frames as before. The gauge cowsliparch_runners_with_pace tells how many paces a VM knows.

--- a/internal/cluster/aggregator.go
+++ b/internal/cluster/aggregator.go
@@ -57,6 +57,7 @@
 		}
 		if a.local.HoldsLease() {
 			a.broadcastTotals()
+			a.hub.broadcastPaces()
 		}
 	}
 }
--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -14,6 +14,7 @@
 
 // fakeVM implements cluster.LocalVM: tests set its state, and it records what other VMs send.
 type fakeVM struct {
+	fakePaces
 	mu               sync.Mutex
 	holdsLease       bool
 	holder           string
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/pacing"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -43,6 +44,8 @@
 	Evidence *quarantine.Evidence `cbor:",omitempty"`
 	// Quarantine is what the lease holder decided on them.
 	Quarantine *quarantine.Status `cbor:",omitempty"`
+	// Paces holds paces of runners, sent by the lease holder.
+	Paces pacing.Paces `cbor:",omitempty"`
 }
 
 type holding = orders.Holding
@@ -53,6 +56,8 @@
 	Version   uint64
 	Occupancy roster.Occupancy
 	Uses      []roster.ModelUse `cbor:",omitempty"`
+	// Paces holds the lowest figures that runners reported to the sender since its last report.
+	Paces pacing.Paces `cbor:",omitempty"`
 }
 
 // missingModel names a model or adapter that a caller requested and no runner holds.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -41,6 +41,8 @@
 	sessions map[*session]bool
 	// membersVersion counts the changes of the membership.
 	membersVersion int
+	// sendingPaces is held while paces are read and sent, so that a linked VM receives them in the order of their changes.
+	sendingPaces sync.Mutex
 }
 
 // session is a link that another VM opened.
@@ -162,6 +164,7 @@
 		h.mu.Unlock()
 		status := h.local.QuarantineStatus()
 		_ = s.link.TrySend(frame{Quarantine: &status})
+		h.sendPaces(s)
 	case f.Evidence != nil:
 		h.local.ReceiveEvidence(*f.Evidence)
 	case f.MissingModel != nil:
@@ -176,6 +179,7 @@
 		if name, ok := h.memberName(s); ok {
 			h.recordUsage(name, *f.Usage)
 		}
+		h.recordPaces(f.Usage)
 		requestNewerConfiguration(s.link, h.local, f.Usage.Version)
 	case receiveConfiguration(h.local, f):
 		h.BroadcastHeartbeat()
--- a/internal/serving/http.go
+++ b/internal/serving/http.go
@@ -91,6 +91,7 @@
 		return float64(s.catalog.Version())
 	})
 	gauge("cowsliparch_runners", "Runners registered.", func() float64 { return float64(len(s.roster.View().All())) })
+	gauge("cowsliparch_runners_with_pace", "Runners whose pace is known here.", func() float64 { return float64(len(s.tracker.Paces())) })
 	gauge("cowsliparch_connections_opened", "Connections opened to runners and to the store.", func() float64 {
 		return float64(s.Pool.Opened())
 	})
