cluster: send all paces also to VMs that linked before a takeover

Callers of a VM that started around the loss of the lease holder would have got choices without paces until each pace changed: the VM may link to the new holder before that holds the lease, and was sent all paces with its first frame only. The holder now sends them with the next totals on each link on which it has not sent them yet, so no lock is needed for the order of the frames either.

Tests run: go test -race ./internal/cluster ./internal/pacing, passed.

--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -41,8 +41,6 @@
 	sessions map[*session]bool
 	// membersVersion counts the changes of the membership.
 	membersVersion int
-	// sendingPaces is held while paces are read and sent, so that a linked VM receives them in the order of their changes.
-	sendingPaces sync.Mutex
 }
 
 // session is a link that another VM opened.
@@ -53,6 +51,8 @@
 	lastReceived time.Time
 	// sentMembersVersion is the version of the members that were last sent on this link.
 	sentMembersVersion int
+	// sentPaces is set once all known paces were sent on this link; the hub's mutex guards it.
+	sentPaces bool
 }
 
 // NewHub returns a hub without links.
@@ -164,7 +164,6 @@
 		h.mu.Unlock()
 		status := h.local.QuarantineStatus()
 		_ = s.link.TrySend(frame{Quarantine: &status})
-		h.sendPaces(s)
 	case f.Evidence != nil:
 		h.local.ReceiveEvidence(*f.Evidence)
 	case f.MissingModel != nil:
--- a/internal/cluster/pace.go
+++ b/internal/cluster/pace.go
@@ -23,23 +23,22 @@
 	}
 }
 
-// sendPaces sends all paces to a VM that was just linked.
-func (h *Hub) sendPaces(s *session) {
-	if !h.local.HoldsLease() {
-		return
-	}
-	h.sendingPaces.Lock()
-	defer h.sendingPaces.Unlock()
-	if paces := h.local.Paces(); len(paces) > 0 {
-		_ = s.link.TrySend(frame{Paces: paces})
-	}
-}
-
-// broadcastPaces sends every linked VM the paces that changed.
+// broadcastPaces sends every linked VM the paces that changed, and all of them to one that got none on its link yet.
 func (h *Hub) broadcastPaces() {
-	h.sendingPaces.Lock()
-	defer h.sendingPaces.Unlock()
-	if changed := h.local.TakeChangedPaces(); len(changed) > 0 {
-		h.broadcast(frame{Paces: changed})
+	changed := h.local.TakeChangedPaces()
+	var all pacing.Paces
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for s := range h.sessions {
+		paces := changed
+		if !s.sentPaces {
+			if all == nil {
+				all = h.local.Paces()
+			}
+			paces, s.sentPaces = all, true
+		}
+		if len(paces) > 0 && !s.link.TrySend(frame{Paces: paces}) {
+			s.link.Close()
+		}
 	}
 }
--- a/internal/pacing/board.go
+++ b/internal/pacing/board.go
@@ -197,16 +197,16 @@
 // Prune drops what is known of runners that have not been registered for some time, and what has expired.
 func (b *Board) Prune(isRegistered func(runner string) bool, now time.Time) {
 	for runner, known := range b.known {
-		switch {
-		case isRegistered(runner):
+		switch missing := !isRegistered(runner); {
+		case missing == known.missingSince.IsZero():
 			known.missingSince = time.Time{}
-		case known.missingSince.IsZero():
-			known.missingSince = now
-		case now.Sub(known.missingSince) >= unregisteredTTL:
+			if missing {
+				known.missingSince = now
+			}
+			b.known[runner] = known
+		case missing && now.Sub(known.missingSince) >= unregisteredTTL:
 			delete(b.known, runner)
-			continue
 		}
-		b.known[runner] = known
 	}
 	maps.DeleteFunc(b.seen, func(_ string, s sighting) bool { return now.Sub(s.at) >= sightingTTL })
 	maps.DeleteFunc(b.windows, func(_ string, w *window) bool { return now.Sub(w.updatedAt) > windowTTL })
