--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -51,6 +51,8 @@
 	lastReceived time.Time
 	// sentMembersVersion is the version of the members that were last sent on this link.
 	sentMembersVersion int
+	// sentPaces is set once all known paces were sent on this link; the hub's mutex guards it.
+	sentPaces bool
 }
 
 // NewHub returns a hub without links.
@@ -176,6 +178,7 @@
 		if name, ok := h.memberName(s); ok {
 			h.recordUsage(name, *f.Usage)
 		}
+		h.recordPaces(f.Usage)
 		requestNewerConfiguration(s.link, h.local, f.Usage.Version)
 	case receiveConfiguration(h.local, f):
 		h.BroadcastHeartbeat()
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -15,6 +15,7 @@
 type Metrics struct {
 	requests       *prometheus.CounterVec
 	onTime         *prometheus.CounterVec
+	paused         *prometheus.CounterVec
 	firstByte      *prometheus.HistogramVec
 	duration       *prometheus.HistogramVec
 	failedSends    *prometheus.CounterVec
@@ -33,6 +34,10 @@
 			Name: "cowsliparch_requests_on_time_total",
 			Help: "Requests whose answer began within the route's objective and did not pause for too long.",
 		}, []string{"service", "priority"}),
+		paused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowsliparch_streams_paused_total",
+			Help: "Streams that paused for longer than the route allows.",
+		}, []string{"service", "priority"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "cowsliparch_request_first_seconds",
 			Help:    "Time from a request's arrival to the first piece of its answer.",
@@ -56,7 +61,7 @@
 		Name: "cowsliparch_account_requests_total",
 		Help: "Requests with a known API key by client account and outcome.",
 	}, []string{"account", "outcome"})
-	r.MustRegister(m.requests, m.onTime, m.firstByte, m.duration, m.failedSends, m.resumedStreams, m.accounts)
+	r.MustRegister(m.requests, m.onTime, m.paused, m.firstByte, m.duration, m.failedSends, m.resumedStreams, m.accounts)
 	return m
 }
 
@@ -76,6 +81,9 @@
 	}
 	first := c.firstByteAt.Sub(c.request.Arrived)
 	m.firstByte.WithLabelValues(service, priority).Observe(first.Seconds())
+	if c.paused() {
+		m.paused.WithLabelValues(service, priority).Inc()
+	}
 	if c.outcome == Answered && !c.late() {
 		m.onTime.WithLabelValues(service, priority).Inc()
 	}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -55,6 +55,9 @@
 	if c.account != nil {
 		attrs = append(attrs, slog.String("Account", c.account.Name))
 	}
+	if c.pick.pace > 0 {
+		attrs = append(attrs, slog.Int("Pace", c.pick.pace))
+	}
 	if c.reason != "" {
 		attrs = append(attrs, slog.String("Reason", c.reason))
 	}
