quota: divide the quotas of client accounts among the VMs

Callers see nothing yet: dispatch does not call the limiter before the accounts are decoded.

Cause: a quota counts the requests of all VMs, and each VM must decide without waiting, also while it is cut off.

Change: Limiter is the VM's side, Allocator that of the holder of the order lease. A replay in virtual time checks the bound in each window of 8 s with 67 VMs, and refusals while all are connected.

Tests: go test -race -p 2 ./internal/quota

--- a/internal/cluster/aggregator.go
+++ b/internal/cluster/aggregator.go
@@ -49,7 +49,7 @@
 	return a
 }
 
-// Run broadcasts totals until the context ends.
+// Run broadcasts totals and sends the grants of quotas until the context ends.
 func (a *UsageAggregator) Run(ctx context.Context) error {
 	for {
 		if !pause.For(ctx, a.clock, usageInterval+totalDelayPerLink*time.Duration(a.hub.MemberCount())) {
@@ -57,6 +57,9 @@
 		}
 		if a.local.HoldsLease() {
 			a.broadcastTotals()
+			if grants := a.local.QuotaGrants(); len(grants) > 0 {
+				a.hub.sendGrants(grants)
+			}
 		}
 	}
 }
--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -43,6 +43,8 @@
 	receivedEvidence []quarantine.Evidence
 	status           quarantine.Status
 	receivedStatus   []quarantine.Status
+
+	quotas fakeQuotas
 }
 
 func (v *fakeVM) update(change func(*fakeVM)) {
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -4,6 +4,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
+	"github.com/cowsliparch/cowsliparch/internal/quota"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -43,6 +44,8 @@
 	Evidence *quarantine.Evidence `cbor:",omitempty"`
 	// Quarantine is what the lease holder decided on them.
 	Quarantine *quarantine.Status `cbor:",omitempty"`
+	// Grant is the receiver's share of the quotas of client accounts, sent by the lease holder.
+	Grant *quota.Grant `cbor:",omitempty"`
 }
 
 type holding = orders.Holding
@@ -53,6 +56,8 @@
 	Version   uint64
 	Occupancy roster.Occupancy
 	Uses      []roster.ModelUse `cbor:",omitempty"`
+	// Quota is the demand of the client accounts with a quota; omitted if there are none.
+	Quota *quota.Report `cbor:",omitempty"`
 }
 
 // missingModel names a model or adapter that a caller requested and no runner holds.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -14,6 +14,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
+	"github.com/cowsliparch/cowsliparch/internal/quota"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -173,8 +174,9 @@
 			h.local.ReceiveDemand(name, f.Demand)
 		}
 	case f.Usage != nil:
-		if name, ok := h.memberName(s); ok {
-			h.recordUsage(name, *f.Usage)
+		if vm, ok := h.memberRun(s); ok {
+			h.recordUsage(vm.Name, *f.Usage)
+			h.local.ReceiveQuotaReport(vm, f.Usage.Quota)
 		}
 		requestNewerConfiguration(s.link, h.local, f.Usage.Version)
 	case receiveConfiguration(h.local, f):
@@ -198,6 +200,19 @@
 	return s.member.Name, true
 }
 
+// memberRun returns which run of which VM opened the link, once its first frame has arrived.
+func (h *Hub) memberRun(s *session) (quota.VM, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.member == nil {
+		return quota.VM{}, false
+	}
+	return quota.VM{
+		Name:        s.member.Name,
+		Incarnation: s.member.Incarnation,
+	}, true
+}
+
 func (h *Hub) handleRequest(s *session, request *stateRequest) {
 	sendNewerConfiguration(s.link, h.local, request)
 	if request.Runners && !h.local.StoreUnavailable() {
@@ -229,6 +244,28 @@
 	}
 }
 
+// sendGrants sends each grant on the links of its VM. One that can't be sent is replaced by a later one.
+func (h *Hub) sendGrants(grants []quota.Outgoing) {
+	byVM := make(map[quota.VM]*quota.Grant, len(grants))
+	for _, g := range grants {
+		byVM[g.VM] = g.Grant
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for s := range h.sessions {
+		if s.member == nil {
+			continue
+		}
+		vm := quota.VM{
+			Name:        s.member.Name,
+			Incarnation: s.member.Incarnation,
+		}
+		if g := byVM[vm]; g != nil {
+			_ = s.link.TrySend(frame{Grant: g})
+		}
+	}
+}
+
 // Members returns this VM and those linked to it.
 func (h *Hub) Members() []Member {
 	h.mu.Lock()
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -4,6 +4,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
+	"github.com/cowsliparch/cowsliparch/internal/quota"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -66,4 +67,12 @@
 	QuarantineStatus() quarantine.Status
 	// ReceiveQuarantineStatus handles what another VM decided on prompt sections.
 	ReceiveQuarantineStatus(s quarantine.Status)
+	// QuotaReport returns the demand of this VM's client accounts since the last report, or nil if none of them has a quota.
+	QuotaReport() *quota.Report
+	// ReceiveQuotaReport handles the report of a linked VM, nil if it sent none.
+	ReceiveQuotaReport(vm quota.VM, r *quota.Report)
+	// QuotaGrants returns the grants that are to be sent to linked VMs now; only the lease holder has any.
+	QuotaGrants() []quota.Outgoing
+	// ReceiveGrant handles a grant of the lease holder.
+	ReceiveGrant(g *quota.Grant)
 }
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -224,6 +224,7 @@
 			Version:   s.local.ConfigurationVersion(),
 			Occupancy: s.local.Occupancy(),
 			Uses:      s.local.ModelsInUse(),
+			Quota:     s.local.QuotaReport(),
 		}
 		if !link.TrySend(frame{Usage: report}) || !pause.For(ctx, s.clock, usageInterval) {
 			return
@@ -259,6 +260,8 @@
 		s.local.ReceiveRequestTotals(f.Requests)
 	case f.Quarantine != nil:
 		s.local.ReceiveQuarantineStatus(*f.Quarantine)
+	case f.Grant != nil:
+		s.local.ReceiveGrant(f.Grant)
 	}
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -60,6 +60,8 @@
 	SectionSuspected      = Event{Number: 2201, Name: "SectionSuspected", Level: slog.LevelInfo, Meaning: "Several runners ended while requests with this prompt section waited there for their answers.", Action: "None; a section that is answered is cleared."}
 	SectionQuarantined    = Event{Number: 2202, Name: "SectionQuarantined", Level: slog.LevelWarn, Meaning: "A prompt section that ends runners is in quarantine; requests with it are refused.", Action: "Find the callers that use the section, and the reason in the runners."}
 	SectionReleased       = Event{Number: 2203, Name: "SectionReleased", Level: slog.LevelInfo, Meaning: "A prompt section left quarantine because it was answered, its runners had not ended, or it was not requested for long.", Action: "None."}
+	QuotaGrantExpired     = Event{Number: 2301, Name: "QuotaGrantExpired", Level: slog.LevelWarn, Meaning: "The lease holder's last grant of shares of the accounts' quotas expired; this VM falls back to the smaller of its share and the even share, and then to the even share.", Action: "Check the link to the lease holder (1603, 1604)."}
+	QuotaGranted          = Event{Number: 2302, Name: "QuotaGranted", Level: slog.LevelInfo, Meaning: "A grant of shares arrived again after the last one had expired.", Action: "None."}
 	LinesDropped          = Event{Number: 2103, Name: "LinesDropped", Level: slog.LevelWarn, Meaning: "Log lines were dropped because standard output was not read fast enough.", Action: "Check the process that reads standard output."}
 )
 
@@ -79,6 +81,7 @@
 		RunnerRegistered, RunnerChanged, RunnerRemoved,
 		SettingsReloaded, SettingsUnusable, LinesDropped,
 		SectionSuspected, SectionQuarantined, SectionReleased,
+		QuotaGrantExpired, QuotaGranted,
 		OrderAccepted, OrderDeclined, OrderLost, OrderDone, LayoutChosen,
 	}
 }
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -46,6 +46,9 @@
 	ClaimDelay time.Duration
 	// OnResign is called when a tenure is given up, so that other VMs learn of it before they read the stream.
 	OnResign func()
+	// VMs returns the number of VMs to record, given the newest recorded one and the fencing token of this VM's tenure, 0 if it
+	// claims the lease. Nil records none.
+	VMs func(recorded int, fence uint64) int
 }
 
 // Lease tracks who holds the order lease and claims it for this VM when it is free; it is safe for concurrent use.
@@ -118,6 +121,13 @@
 	return l.newest, l.hasRecord && !l.newest.Released
 }
 
+// RecordedVMs returns the number of VMs that share the quotas of client accounts by the newest record read, 0 if it has none.
+func (l *Lease) RecordedVMs() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.newest.VMs
+}
+
 // HolderSeen records that the holder sent a message over its link, up to which offset it has read the stream, and its fencing token,
 // 0 if it does not tell. This VM need not read those records: it counts the term of the newest one from the arrival of the message,
 // which is later than the record.
--- a/internal/orderlease/record.go
+++ b/internal/orderlease/record.go
@@ -17,6 +17,8 @@
 	Fence uint64
 	// Released is set if the record gives up the lease.
 	Released bool `cbor:",omitempty"`
+	// VMs is the number of VMs that share the quotas of client accounts; omitted while no account has one.
+	VMs int `cbor:",omitempty"`
 }
 
 // fenceAt returns the fencing token of a tenure that starts with the record at an offset.
--- a/internal/orderlease/stream.go
+++ b/internal/orderlease/stream.go
@@ -24,6 +24,9 @@
 		Fence:       fence,
 		Released:    released,
 	}
+	if l.options.VMs != nil {
+		record.VMs = l.options.VMs(l.newest.VMs, fence)
+	}
 	sent := l.bootClock.Elapsed()
 	l.pendingSequence, l.pendingSentAt = record.Sequence, sent
 	l.mu.Unlock()
--- a/internal/serving/loops.go
+++ b/internal/serving/loops.go
@@ -56,7 +56,7 @@
 }
 
 // maintain periodically closes expired idle connections, drops outdated state, gives up the lease if another VM should hold
-// it, and updates the retry budget.
+// it, and updates the retry budget and the quotas.
 func (s *Server) maintain(ctx context.Context) error {
 	for {
 		if !pause.For(ctx, s.Clock, maintenanceInterval) {
@@ -64,6 +64,7 @@
 		}
 		s.Pool.Prune()
 		s.tracker.Prune(s.roster.View(), s.Clock.Now())
+		s.maintainQuotas()
 		s.stepDownIfIsolated(ctx)
 		s.stepDownIfLinkIsSlow(ctx)
 		s.retryBudget.SetLimits(retryLimits(s.currentSettings()), s.vmCount())
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -46,6 +46,7 @@
 	aggregator  *cluster.UsageAggregator
 	spoke       *cluster.Spoke
 	guard       *promptguard.Guard
+	quotas      *quotas
 	stopping    atomic.Bool
 	// requests is the context of all requests of callers; cancelRequests ends it.
 	requests       context.Context
@@ -102,6 +103,7 @@
 		Clock:        d.Clock,
 		Logger:       d.Logger,
 	})
+	s.quotas = newQuotas(d.BootClock, func() []catalog.Account { return nil })
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
 		Catalog:     s.catalog.Current,
 		Roster:      s.roster.View,
@@ -112,6 +114,7 @@
 		Demand:      &demandRecorder{server: s},
 		Buffers:     s.buffers,
 		Guard:       s.guard,
+		Quotas:      s.quotas,
 		Metrics:     dispatch.NewMetrics(s.registry),
 		Clock:       d.Clock,
 		Logger:      d.Logger,
@@ -119,6 +122,7 @@
 	s.initControl()
 	s.registerGauges()
 	s.registerBufferMetrics()
+	s.registry.MustRegister(s.quotas)
 	return s, s.listen()
 }
 
@@ -145,6 +149,7 @@
 		Term:        s.Settings.Control.LeaseTerm,
 		ClaimDelay:  claimDelay,
 		OnResign:    func() { s.hub.BroadcastHeartbeat() },
+		VMs:         s.vmsToRecord,
 	}, s.Log, s.Clock, s.BootClock, s.Logger)
 	s.hub = cluster.NewHub(self, s, s.Clock)
 	s.announcer = cluster.NewAnnouncer(s.hub, s.Clock)
