--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -47,7 +47,7 @@
 	// OnResign is called when a tenure is given up, so that other VMs learn of it before they read the stream.
 	OnResign func()
 	// VMs returns the number of VMs to record, given the newest recorded one and the fencing token of this VM's tenure, 0 if it
-	// claims the lease. Nil records none.
+	// claims the lease. It must not call the Lease. Nil records none.
 	VMs func(recorded int, fence uint64) int
 }
 
--- a/internal/orderlease/lease_test.go
+++ b/internal/orderlease/lease_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
@@ -533,3 +534,36 @@
 		})
 	}
 }
+
+// The number of VMs must outlive its holder, and records without it must be those of earlier builds.
+func TestRecordsCarryNumberOfVMs(t *testing.T) {
+	f := newFixture(t, 0)
+	count := 0
+	v := f.addVM(t, "vm", "address", "run")
+	v.lease = orderlease.New(orderlease.Options{
+		Name:        "vm",
+		Address:     "address",
+		Incarnation: "run",
+		Term:        term,
+		OnResign:    func() {},
+		VMs: func(recorded int, _ uint64) int {
+			f.stream.mu.Lock()
+			defer f.stream.mu.Unlock()
+			return max(recorded, count)
+		},
+	}, v.log, f.clock, v.boot, slog.New(slog.DiscardHandler))
+	stop := f.start(t, v)
+	f.advanceUntil(t, func() bool { return fence(v) > 0 })
+	require.Zero(t, v.lease.RecordedVMs())
+	f.stream.mu.Lock()
+	var decoded map[string]any
+	require.NoError(t, cbor.Unmarshal(f.stream.records[0].Payload, &decoded))
+	count = 67
+	f.stream.mu.Unlock()
+	require.NotContains(t, decoded, "VMs")
+	f.advanceUntil(t, func() bool { return v.lease.RecordedVMs() == 67 })
+	stop()
+	successor := f.addVM(t, "other", "other-address", "other-run")
+	f.start(t, successor)
+	f.advanceUntil(t, func() bool { return successor.lease.RecordedVMs() == 67 })
+}
