--- a/internal/cluster/quota_test.go
+++ b/internal/cluster/quota_test.go
@@ -68,16 +68,16 @@
 // A VM without its grant would fall back to the even share while it is linked.
 func TestGrantReachesItsVM(t *testing.T) {
 	grant := &quota.Grant{
-		Fence:  5,
-		Number: 1,
-		VMs:    2,
-		Shares: []quota.AccountShare{{Account: "a", Share: 0.25, Free: true}},
+		Fence:    5,
+		Number:   1,
+		VMs:      2,
+		Accounts: []quota.AccountGrant{{Account: "a", Share: 0.25, Credit: 300, Debt: 100}},
 	}
 	report := &quota.Report{
-		Fence:  4,
-		Number: 7,
-		Demand: []quota.AccountDemand{{Account: "a", Units: 300}},
-		Shares: []quota.AccountShare{{Account: "a", Share: 0.5}},
+		Fence:    4,
+		Number:   7,
+		Full:     true,
+		Accounts: []quota.AccountReport{{Account: "a", Demand: 300, Used: 900, Share: 0.5}},
 	}
 	p := newPairWith(t, func(holder, other *fakeVM) {
 		other.quotas.report = report
--- a/internal/serving/quota.go
+++ b/internal/serving/quota.go
@@ -130,7 +130,7 @@
 }
 
 // vmsToRecord returns the number of VMs that the next record of the lease tells. A VM that has no configuration yet, or does not hold the
-// lease yet, passes on the number of the record before.
+// lease yet, passes on the number that it knows.
 func (s *Server) vmsToRecord(recorded int, fence uint64) int {
 	if s.catalog.Current() == nil {
 		return recorded
@@ -141,7 +141,8 @@
 	if n := s.quotas.allocator.VMCount(fence, s.BootClock.Elapsed()); n > 0 {
 		return n
 	}
-	return recorded
+	// A VM that was linked to the former holder has not read its records, but got its grants.
+	return max(recorded, s.quotas.limiter.VMs())
 }
 
 // maintainQuotas tells the limiter the number of VMs by the lease, and logs when the newest grant has expired.
