serving: claim the lease with the number of VMs that is recorded

Callers would have seen too much admitted after all VMs were lost: a VM without a tenure recorded 1 as the number of VMs when it claimed the lease, so that each VM that had not been granted a share would have used the whole quota.

Change: VMCount knows no number without a tenure. Tests of the wiring in serving.

Tests: go test -race -p 2 ./internal/serving -run 'Quota|Grants'; go test ./internal/quota

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -85,11 +85,11 @@
 }
 
 // VMCount returns the number of VMs known, present or absent, those included that only the records of the lease tell of. It returns
-// 0 in another tenure than that of the fencing token, and while most VMs may not have reported yet.
+// 0 without a tenure or in another than that of the fencing token, and while most VMs may not have reported yet.
 func (a *Allocator) VMCount(fence uint64, now time.Duration) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if fence != a.fence || a.recordedVMs == 0 && now-a.startedAt < settleTime {
+	if fence == 0 || fence != a.fence || a.recordedVMs == 0 && now-a.startedAt < settleTime {
 		return 0
 	}
 	a.forget(now)
