--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -5,6 +5,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/pacing"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
+	"github.com/cowsliparch/cowsliparch/internal/quota"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -46,6 +47,8 @@
 	Quarantine *quarantine.Status `cbor:",omitempty"`
 	// Paces holds paces of runners, sent by the lease holder.
 	Paces pacing.Paces `cbor:",omitempty"`
+	// Grant is the receiver's share of the quotas of client accounts, sent by the lease holder.
+	Grant *quota.Grant `cbor:",omitempty"`
 }
 
 type holding = orders.Holding
@@ -58,6 +61,8 @@
 	Uses      []roster.ModelUse `cbor:",omitempty"`
 	// Paces holds the lowest figures that runners reported to the sender since its last report.
 	Paces pacing.Paces `cbor:",omitempty"`
+	// Quota is the demand of the client accounts with a quota; omitted if there are none.
+	Quota *quota.Report `cbor:",omitempty"`
 }
 
 // missingModel names a model or adapter that a caller requested and no runner holds.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -225,6 +225,7 @@
 			Occupancy: s.local.Occupancy(),
 			Uses:      s.local.ModelsInUse(),
 			Paces:     s.local.TakeSeenPaces(),
+			Quota:     s.local.QuotaReport(),
 		}
 		if !link.TrySend(frame{Usage: report}) || !pause.For(ctx, s.clock, usageInterval) {
 			return
@@ -262,6 +263,8 @@
 		s.local.ReceiveQuarantineStatus(*f.Quarantine)
 	case f.Paces != nil:
 		s.local.ReceivePaces(f.Paces)
+	case f.Grant != nil:
+		s.local.ReceiveGrant(f.Grant)
 	}
 }
 
