serving, platform: bound the memory and connections that callers take

What callers see: with complete heads or bodies missing, many at once or too large, they get 408, 413, 431 or 503 (not run, with Retry-After), and others are still served. A body whose declared length exceeds the limit is refused before it is read. Heads are bounded by the configuration's max_header_bytes and header_timeout_ms, until now by 64 KiB and 5 s. Sound callers see no change.

Cause: bodies were read with io.ReadAll, and nothing counted what all requests hold, nor the connections; net/http's limits are for each connection alone. The kernel's receive buffers grew to several MiB for each.

Change: the callers' listener is a guard's. Bodies are read in pieces whose memory is charged first. The budget of requests is a quarter of the VM's memory less 20 MB. The new setting VM.Descriptors (0: the process's limit) bounds connections. The listener's receive buffers are bounded by the VM's memory.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -57,6 +57,7 @@
 	LayoutChosen          = Event{Number: 3205, Name: "LayoutChosen", Level: slog.LevelInfo, Meaning: "The planner chose a step; the event lists the demand that led to it.", Action: "None."}
 	SettingsReloaded      = Event{Number: 2101, Name: "SettingsReloaded", Level: slog.LevelInfo, Meaning: "The settings file was reloaded.", Action: "None."}
 	SettingsUnusable      = Event{Number: 2102, Name: "SettingsUnusable", Level: slog.LevelError, Meaning: "The settings file could not be used; the previous settings stay in effect.", Action: "Validate the file with the command settings check."}
+	CallersRefused        = Event{Number: 1909, Name: "CallersRefused", Level: slog.LevelWarn, Meaning: "`Count` requests of callers were refused before they were read, or their connections closed, since the last such line.", Action: "See Reason; if Memory or Connections repeats, find the callers that don't complete their requests."}
 	SectionSuspected      = Event{Number: 2201, Name: "SectionSuspected", Level: slog.LevelInfo, Meaning: "Several runners ended while requests with this prompt section waited there for their answers.", Action: "None; a section that is answered is cleared."}
 	SectionQuarantined    = Event{Number: 2202, Name: "SectionQuarantined", Level: slog.LevelWarn, Meaning: "A prompt section that ends runners is in quarantine; requests with it are refused.", Action: "Find the callers that use the section, and the reason in the runners."}
 	SectionReleased       = Event{Number: 2203, Name: "SectionReleased", Level: slog.LevelInfo, Meaning: "A prompt section left quarantine because it was answered, its runners had not ended, or it was not requested for long.", Action: "None."}
@@ -75,7 +76,7 @@
 		PeerJoined, PeerLost, LinkUp, LinkDown,
 		CallUnknown, ClaimsUnavailable,
 		AnswerCut, AnswerResumed, ForeignAnswerDropped,
-		CallAnswered, CallRefused, CallFailed, CallAborted, CallerLeft, SendFailed, StreamResumed, ResponseEvicted,
+		CallAnswered, CallRefused, CallFailed, CallAborted, CallerLeft, SendFailed, StreamResumed, ResponseEvicted, CallersRefused,
 		RunnerRegistered, RunnerChanged, RunnerRemoved,
 		SettingsReloaded, SettingsUnusable, LinesDropped,
 		SectionSuspected, SectionQuarantined, SectionReleased,
--- a/internal/serving/http.go
+++ b/internal/serving/http.go
@@ -11,12 +11,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/cowsliparch/cowsliparch/internal/callers"
 	"github.com/cowsliparch/cowsliparch/internal/cluster"
 )
 
 const (
-	// headerTimeout bounds the time in which a caller must send the request headers.
-	headerTimeout = 5 * time.Second
+	// headerTimeout bounds the time in which the request headers must be sent if the configuration sets no limit. maxHeaderTimeout is the
+	// longest that a configuration can set.
+	headerTimeout    = 5 * time.Second
+	maxHeaderTimeout = time.Minute
 	// idleTimeout exceeds every idle timeout that configurations allow, so that the server does not close a connection that a
 	// caller is about to use.
 	idleTimeout = 2 * time.Minute
@@ -27,11 +30,12 @@
 func (s *Server) callerServer() *http.Server {
 	return &http.Server{
 		Handler:           s.Ingress(s),
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: maxHeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          debugLogger(s),
 		BaseContext:       func(net.Listener) context.Context { return s.requests },
+		ConnContext:       callers.Context,
 	}
 }
 
--- a/internal/serving/memory.go
+++ b/internal/serving/memory.go
@@ -35,6 +35,14 @@
 			Name: "cowsliparch_held_response_bytes",
 			Help: "Bytes of runners' responses that are held until they can be passed on.",
 		}, func() float64 { return float64(s.buffers.Held()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "cowsliparch_held_request_bytes",
+			Help: "Bytes that callers' requests are charged for.",
+		}, func() float64 { return float64(s.guardCallers.Held()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "cowsliparch_caller_connections",
+			Help: "Connections of callers that are open.",
+		}, func() float64 { return float64(s.guardCallers.Open()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "cowsliparch_responses_evicted_total",
 			Help: "Responses given up because all together held too much.",
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cowsliparch/cowsliparch/internal/buffer"
+	"github.com/cowsliparch/cowsliparch/internal/callers"
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/cluster"
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
@@ -37,16 +38,18 @@
 	tracker     *dispatch.Tracker
 	retryBudget *dispatch.RetryBudget
 	buffers     *buffer.Budget
-	dispatcher  *dispatch.Dispatcher
-	demand      *orders.Meter
-	lease       *orderlease.Lease
-	controller  *orders.Controller
-	hub         *cluster.Hub
-	announcer   *cluster.Announcer
-	aggregator  *cluster.UsageAggregator
-	spoke       *cluster.Spoke
-	guard       *promptguard.Guard
-	stopping    atomic.Bool
+	// guardCallers bounds what callers' requests and connections take.
+	guardCallers *callers.Guard
+	dispatcher   *dispatch.Dispatcher
+	demand       *orders.Meter
+	lease        *orderlease.Lease
+	controller   *orders.Controller
+	hub          *cluster.Hub
+	announcer    *cluster.Announcer
+	aggregator   *cluster.UsageAggregator
+	spoke        *cluster.Spoke
+	guard        *promptguard.Guard
+	stopping     atomic.Bool
 	// requests is the context of all requests of callers; cancelRequests ends it.
 	requests       context.Context
 	cancelRequests context.CancelCauseFunc
@@ -116,6 +119,7 @@
 		Clock:       d.Clock,
 		Logger:      d.Logger,
 	})
+	s.guardCallers = s.newGuard()
 	s.initControl()
 	s.registerGauges()
 	s.registerBufferMetrics()
@@ -195,6 +199,12 @@
 		}
 		*l.listener = listener
 	}
+	if err := setReadBuffer(s.callerListener, readBuffer(vm)); err != nil {
+		return &ListenError{
+			Address: vm.CallerAddress,
+			Cause:   err,
+		}
+	}
 	return nil
 }
 
@@ -233,8 +243,8 @@
 	}
 	callerServer, readyServer, peerServer, metricsServer := s.callerServer(), s.readyServer(), s.peerServer(control), s.metricsServer()
 	connections := newBusyConnections()
-	callerServer.ConnState = connections.track
-	group.Go(func() error { return serve(callerServer, s.callerListener) })
+	callerServer.ConnState = s.trackConnections(connections)
+	group.Go(func() error { return serve(callerServer, s.guardCallers.Listen(s.callerListener)) })
 	group.Go(func() error { return serve(readyServer, s.readyListener) })
 	group.Go(func() error { return serve(peerServer, s.peerListener) })
 	group.Go(func() error { return serve(metricsServer, s.metricsListener) })
--- a/internal/settings/serving.go
+++ b/internal/settings/serving.go
@@ -26,6 +26,8 @@
 	FirstStart bool
 	// MemoryMB is the VM's memory in MB, or 0 if it is unknown.
 	MemoryMB float64
+	// Descriptors is how many descriptors the process may have open, or 0 for the process's own limit.
+	Descriptors int
 	// LinkMbit is the bandwidth of the VM's network link in Mbit/s, or 0 if it is unknown.
 	LinkMbit float64
 	// Regions maps each failure domain to its region.
@@ -150,9 +152,17 @@
 			name:        "MemoryMB",
 			example:     "284",
 			allowed:     between(0, 10000000),
-			description: "The memory of this VM in MB; it limits what the process holds of runners' responses.",
+			description: "The memory of this VM in MB; it limits what the process holds of requests and responses.",
 			set:         decimal(func(s *Serving) *float64 { return &s.VM.MemoryMB }, 0, 10000000),
 		},
+		{
+			section:     "VM",
+			name:        "Descriptors",
+			example:     "3075",
+			allowed:     between(0, 1000000),
+			description: "How many descriptors the process may have open; it limits callers' connections. 0 is the process's own limit.",
+			set:         integer(func(s *Serving) *int { return &s.VM.Descriptors }, 0, 1000000),
+		},
 		{
 			section:     "VM",
 			name:        "LinkMbit",
