callers: small requests don't count as stalled

What callers see: while the memory for requests is short, a small request on a slow connection is no longer refused ahead of large ones.

Cause: an incomplete request that had not grown by 16 KiB for 2 s was refused first, whatever it held; refusing small ones frees little.

Change: only requests of more than 64 KiB count as stalled. A test of the order and a benchmark of the guard beside plain net/http.

--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -219,8 +219,8 @@
 	c.bytes = bytes
 }
 
-// largest returns the incomplete request that is the first to be given up: the largest of those that have stalled, otherwise of all. The
-// caller holds the lock.
+// largest returns the incomplete request that is the first to be given up: the largest of those that have stalled, otherwise of all.
+// Small requests don't count as stalled, since giving them up frees little. The caller holds the lock.
 func (g *Guard) largest() *Conn {
 	var first *Conn
 	firstStalled := false
@@ -228,7 +228,7 @@
 	for _, p := range []phase{readingHead, readingBody} {
 		for e := g.waiting[p].Front(); e != nil; e = e.Next() {
 			c := e.Value.(*Conn)
-			stalled := c.progress.Load() < before
+			stalled := c.bytes > smallRequest && c.progress.Load() < before
 			if c.bytes > 0 && (first == nil || stalled && !firstStalled || stalled == firstStalled && c.bytes > first.bytes) {
 				first, firstStalled = c, stalled
 			}
--- a/internal/callers/guard_test.go
+++ b/internal/callers/guard_test.go
@@ -200,3 +200,78 @@
 	require.Nil(t, c.Refused())
 	c.Discard()
 }
+
+// Which of the incomplete requests goes first: stalled large ones, then the largest. A small one frees little, however long it has stalled.
+func TestStalledRequestsAreRefusedFirst(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	g := New(Options{
+		Bytes:    1 << 20,
+		OnRefuse: func(*RefusedError) {},
+		Clock:    clock,
+	})
+	request := func(bytes int64) *Conn {
+		c := &Conn{TCPConn: &net.TCPConn{}}
+		c.progress.Store(clock.Now().UnixNano())
+		g.mu.Lock()
+		g.add(c)
+		g.mu.Unlock()
+		require.NoError(t, g.charge(c, bytes))
+		return c
+	}
+	small, stalled := request(10<<10), request(300<<10)
+	clock.Advance(stallTime + time.Second)
+	growing := request(400 << 10)
+	other := request(310 << 10)
+	require.NoError(t, g.charge(other, 390<<10))
+	require.NotNil(t, stalled.Refused())
+	require.Nil(t, growing.Refused())
+	require.NoError(t, g.charge(other, 399<<10))
+	require.Error(t, g.charge(other, 700<<10))
+	require.Nil(t, small.Refused())
+	require.Nil(t, growing.Refused())
+}
+
+// BenchmarkRequests measures requests on one connection with and without a guard.
+func BenchmarkRequests(b *testing.B) {
+	for _, guarded := range []bool{false, true} {
+		name := "Plain"
+		if guarded {
+			name = "Guarded"
+		}
+		b.Run(name, func(b *testing.B) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(b, err)
+			address := listener.Addr().String()
+			h := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				c := FromContext(r.Context())
+				_ = c.Hold(4)
+				_ = c.Complete()
+			})}
+			if guarded {
+				g := New(Options{
+					Bytes:       1 << 20,
+					Connections: 10,
+					HeadBytes:   func() int { return 16 << 10 },
+					HeadTime:    func() time.Duration { return waitTimeout },
+					OnRefuse:    func(*RefusedError) {},
+					Clock:       clockwork.NewRealClock(),
+				})
+				listener = g.Listen(listener)
+				h.ConnState = g.Track
+				h.ConnContext = Context
+			}
+			go func() { _ = h.Serve(listener) }()
+			defer func() { _ = h.Close() }()
+			c, err := net.Dial("tcp", address)
+			require.NoError(b, err)
+			defer func() { _ = c.Close() }()
+			reader := bufio.NewReader(c)
+			for b.Loop() {
+				_, _ = io.WriteString(c, complete)
+				response, err := http.ReadResponse(reader, nil)
+				require.NoError(b, err)
+				_ = response.Body.Close()
+			}
+		})
+	}
+}
