dispatch: test that requests teach the choice

Nothing guarded the way from a response's figure and a stream's pause to the next choice, the record and the counter.

Tests run: go test -race -count=5 -run 'Teach|UnknownPace' ./internal/dispatch, passed.

--- /dev/null
+++ b/internal/dispatch/pace_call_test.go
@@ -0,0 +1,85 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
+	"github.com/cowsliparch/cowsliparch/internal/pacing"
+)
+
+// delayedReader delays what follows the first read.
+type delayedReader struct {
+	io.Reader
+	wait func()
+	read bool
+}
+
+func (r *delayedReader) Read(b []byte) (int, error) {
+	if r.read {
+		r.wait()
+	}
+	r.read = true
+	return r.Reader.Read(b)
+}
+
+// reportFigure makes a stream report how long work takes, and pause between its two events.
+func (h *harness) reportFigure(figure int, pause time.Duration) reply {
+	return func(ctx context.Context, r *dispatch.Request, attempt dispatch.Attempt) (*dispatch.Response, error) {
+		response, err := stream(io.EOF, "data: a\n\n", "data: b\n\n")(ctx, r, attempt)
+		response.Load = &dispatch.ReportedLoad{Slots: 8, Figure: figure}
+		response.Body = &delayedReader{Reader: response.Body, wait: func() { h.clock.Sleep(pause) }}
+		return response, err
+	}
+}
+
+// Requests must teach the choice: figures are seen, pauses are learned, and a fast runner that is farther away gets the streams
+// that would pause for too long at the slow one. What was late by a pause is counted, and each record tells the pace.
+func TestRequestsTeachPauses(t *testing.T) {
+	const streams = 8
+	h := newHarness(t)
+	h.catalog.Routes()[2].MaxEventGap = 200 * time.Millisecond
+	for range streams {
+		h.sender.replies = append(h.sender.replies, h.reportFigure(160, 320*time.Millisecond))
+	}
+	h.sender.replies = append(h.sender.replies, h.reportFigure(60, 0))
+	registry := prometheus.NewRegistry()
+	h.dispatcher.Metrics = dispatch.NewMetrics(registry)
+	log := h.captureRecords()
+	h.tracker.ApplyPaces(pacing.Paces{"m1": 160, "m2": 60})
+	for range streams {
+		h.caller = &fakeCaller{}
+		h.serveAdvancing(t, t.Context(), h.request("/stream/"), 20*time.Millisecond)
+		require.Equal(t, http.StatusOK, h.caller.status)
+	}
+	require.Equal(t, "m1", h.sender.runners[0], "nothing was known yet")
+	require.Equal(t, 160, h.tracker.TakeSeenPaces(h.clock.Now())[h.sender.runners[streams-1]])
+	require.Contains(t, log.String(), `"Pace":160`)
+	h.serveAdvancing(t, t.Context(), h.request("/stream/"), 20*time.Millisecond)
+	require.Equal(t, "m2", h.sender.runners[streams])
+	require.Contains(t, log.String(), `"Pace":60`)
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	for _, family := range families {
+		if family.GetName() == "cowsliparch_streams_paused_total" {
+			require.InDelta(t, streams, family.GetMetric()[0].GetCounter().GetValue(), 0)
+			return
+		}
+	}
+	require.Fail(t, "no stream counts as paused")
+}
+
+// Without known paces, records must look as before.
+func TestRecordHasNoUnknownPace(t *testing.T) {
+	h := newHarness(t, respond(http.StatusOK, "data: a\n\n"))
+	log := h.captureRecords()
+	h.serve(t, "/stream/")
+	require.Contains(t, log.String(), `"ScoreMS"`)
+	require.NotContains(t, log.String(), `"Pace"`)
+}
