catalog: list services that another of the same name replaced

Of several services with one name, VMs use the last. The catalog now names them, so that the check of a configuration can report them; what VMs do is unchanged.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,7 +12,9 @@
 	// routesByHost is keyed by host names in lower case.
 	routesByHost map[string][]*Route
 	services     map[string]Service
-	accounts     []Account
+	// repeatedServices lists the names of services that occurred before; the last one of a name counts.
+	repeatedServices []string
+	accounts         []Account
 	// accountsByKey is keyed by digests that clients can't predict, so that the time of a look-up says nothing about a key.
 	accountsByKey map[KeyDigest]*Account
 	// ranks is nil without accounts; defaultPriority is that of requests whose account has no priority.
@@ -35,6 +37,9 @@
 	}
 	for _, service := range services {
 		service.MinObjective, service.FirstPriority = c.urgency(service.Name)
+		if _, repeated := c.services[service.Name]; repeated {
+			c.repeatedServices = append(c.repeatedServices, service.Name)
+		}
 		c.services[service.Name] = service
 	}
 	return c
@@ -60,5 +65,8 @@
 // Services returns all services by name.
 func (c *Catalog) Services() map[string]Service { return c.services }
 
+// RepeatedServices returns the names under which New got a further service, which replaced the one before.
+func (c *Catalog) RepeatedServices() []string { return c.repeatedServices }
+
 // Routes returns all routes.
 func (c *Catalog) Routes() []Route { return c.routes }
