settings: Limits.Shedding, Priority or Cost

Lets operators choose what decides which requests are refused first. The default, Priority, is what there was before. Nothing reads it yet. go test -race -p 2 ./internal/settings passes.

--- a/internal/settings/serving.go
+++ b/internal/settings/serving.go
@@ -46,8 +46,21 @@
 	RetryWindow time.Duration
 	// StopTimeout is the time from the stop signal until the process is killed from outside.
 	StopTimeout time.Duration
+	// Shedding is what decides which requests are refused first when runners lack capacity.
+	Shedding Shedding
 }
 
+// Shedding is what decides which requests are refused first.
+type Shedding string
+
+// The values of Shedding.
+const (
+	// SheddingByPriority refuses at random all but the most urgent requests.
+	SheddingByPriority Shedding = "Priority"
+	// SheddingByCost delays or refuses the requests whose loss costs callers least.
+	SheddingByCost Shedding = "Cost"
+)
+
 // ServingControl sets the term of the lease under which a VM sends orders to runners, and how soon changes take effect.
 type ServingControl struct {
 	LeaseTerm time.Duration
@@ -207,6 +220,17 @@
 			description: "The time from the stop signal until the process is killed from outside.",
 			set:         duration(func(s *Serving) *time.Duration { return &s.Limits.StopTimeout }, time.Second, 24*time.Hour),
 		},
+		{
+			section:     "Limits",
+			name:        "Shedding",
+			example:     string(SheddingByPriority),
+			allowed:     "Priority or Cost",
+			description: "What decides which requests are refused first when runners lack capacity; Cost also delays requests that can wait.",
+			set: func(s *Serving, value string) bool {
+				s.Limits.Shedding = Shedding(value)
+				return s.Limits.Shedding == SheddingByPriority || s.Limits.Shedding == SheddingByCost
+			},
+		},
 		{
 			section:     "Control",
 			name:        "LeaseTerm",
--- a/internal/settings/serving_test.go
+++ b/internal/settings/serving_test.go
@@ -45,3 +45,19 @@
 	require.Equal(t, 10500*time.Millisecond, s.Limits.RetryWindow)
 	require.Equal(t, 8250*time.Millisecond, s.Limits.StopTimeout)
 }
+
+// Requests must be refused as in earlier versions unless the operators choose otherwise.
+func TestSheddingIsByPriorityUnlessSet(t *testing.T) {
+	s, err := settings.ParseServing("example", []byte(settings.ServingExample()))
+	require.NoError(t, err)
+	require.Equal(t, settings.SheddingByPriority, s.Limits.Shedding)
+	for value, valid := range map[string]bool{"Cost": true, "Priority": true, "cost": false, "": false} {
+		s, err := settings.ParseServing("set", []byte(strings.Replace(settings.ServingExample(), ";Shedding = Priority", "Shedding = "+value, 1)))
+		if valid {
+			require.NoError(t, err)
+			require.EqualValues(t, value, s.Limits.Shedding)
+		} else {
+			require.Error(t, err, value)
+		}
+	}
+}
