dispatch: delay or refuse requests by cost if Limits.Shedding says so

With Shedding = Cost, callers of requests to a model that lacks capacity are served in the order of rank, and those whose objective allows it wait instead of being refused. call.pickRunner asks internal/shedding in place of mayRefuse, WorthSending and Admit. A delay holds no runner's slot and ends when the caller leaves or the VM stops. Delays and refusals appear in cowsliparch_requests_shed_total and in Rank, DelayedMS and Shed of a request's last log line. With Priority, the default, choices and random numbers are as before.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -68,6 +68,7 @@
 	// writes.
 	lastWriteAt time.Time
 	longestGap  time.Duration
+	shed        shed
 }
 
 // Outcome is how a request ended.
@@ -117,7 +118,8 @@
 	return needs
 }
 
-// pickRunner chooses the runner for the next attempt.
+// pickRunner chooses the runner for the next attempt. It returns neither a runner nor a refusal if the context ended while the
+// request was delayed.
 func (c *call) pickRunner(ctx context.Context) (choice, *refusal.Refusal) {
 	if refused := c.quarantineRefusal(); refused != nil {
 		return choice{}, refused
@@ -134,6 +136,9 @@
 	if pick.runner == nil {
 		return pick, c.noRunnerRefusal(needs)
 	}
+	if c.shedsByCost() {
+		return c.shedByCost(ctx, needs)
+	}
 	if c.mayRefuse() && (!patience.WorthSending(pick.score, c.route.Objective) || rand.Float64() >= pick.admit) {
 		return pick, refusal.New(http.StatusServiceUnavailable, refusal.TooLate, "the runners are too busy to answer in time").
 			WithRetryAfter(c.retryAfter(max(pick.score-c.route.Objective, c.loadTime(needs.model))))
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -31,6 +31,9 @@
 	pause   time.Duration
 	// admit is the share of requests for the model that its runners can serve within the limit.
 	admit float64
+	// supply is what the ready runners can serve, demand the number of requests per second to the model or 0 if it isn't known.
+	supply loadbalance.Supply
+	demand float64
 }
 
 // requirements describes the runner that a request needs.
@@ -70,6 +73,10 @@
 	if needs.limit > 0 {
 		best.admit = t.picker.Admit(needs.limit, t.knownRate(needs.service, needs.model, now)*float64(len(t.compared))/float64(best.ready))
 	}
+	if needs.limit > 0 {
+		best.supply = t.picker.Supply(needs.limit).Scale(float64(best.ready) / float64(len(t.compared)))
+		best.demand = t.knownRate(needs.service, needs.model, now)
+	}
 	best.score = expected
 	best.inFlight = t.candidates[i].Own + t.candidates[i].Others
 	best.loadAge = t.candidates[i].Age
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,10 +47,12 @@
 	// Guard may be nil; then every prompt may be sent.
 	Guard SectionGuard
 	// Quotas may be nil; then no account has a limit.
-	Quotas  QuotaLimiter
-	Metrics *Metrics
-	Clock   clockwork.Clock
-	Logger  *slog.Logger
+	Quotas QuotaLimiter
+	// Shedding may be empty; then priority and expected wait decide which requests are refused.
+	Shedding Shedding
+	Metrics  *Metrics
+	Clock    clockwork.Clock
+	Logger   *slog.Logger
 }
 
 // Dispatcher serves requests by sending them to runners; it is safe for concurrent use.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/cowsliparch/cowsliparch/internal/shedding"
 )
 
 // latencyBuckets are the histogram bounds of response times, in seconds.
@@ -17,6 +19,7 @@
 	duration       *prometheus.HistogramVec
 	failedSends    *prometheus.CounterVec
 	resumedStreams *prometheus.CounterVec
+	shed           *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics registered with the registerer.
@@ -49,7 +52,11 @@
 			Help: "Streams that went on at another runner.",
 		}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.onTime, m.firstByte, m.duration, m.failedSends, m.resumedStreams)
+	m.shed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cowsliparch_requests_shed_total",
+		Help: "Requests that were delayed or refused because of a lack of capacity, by rank and reason.",
+	}, []string{"service", "rank", "action", "reason"})
+	r.MustRegister(m.shed, m.requests, m.onTime, m.firstByte, m.duration, m.failedSends, m.resumedStreams)
 	return m
 }
 
@@ -75,6 +82,10 @@
 
 func (m *Metrics) streamResumed(service string) { m.resumedStreams.WithLabelValues(service).Inc() }
 
+func (m *Metrics) requestShed(service string, rank int, d shedding.Decision) {
+	m.shed.WithLabelValues(service, priorityLabel(rank), string(d.Action), string(d.Reason)).Inc()
+}
+
 // priorityLabel limits the label to the priorities that runners accept.
 func priorityLabel(priority int) string {
 	return string(rune('0' + min(max(priority, 0), lowestPriority)))
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -52,6 +52,7 @@
 		slog.Int64("LoadAgeMS", c.pick.loadAge.Milliseconds()),
 		slog.Int64("ScoreMS", c.pick.score.Milliseconds()),
 	)
+	attrs = append(attrs, c.shedAttributes()...)
 	if c.reason != "" {
 		attrs = append(attrs, slog.String("Reason", c.reason))
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -35,6 +35,9 @@
 			if refused := c.startNext(ctx); refused != nil {
 				return c.giveUp(refused)
 			}
+			if c.current == nil {
+				return c.handleCancel(ctx)
+			}
 		}
 		done, refused := c.awaitUpdate(ctx)
 		if done {
@@ -46,7 +49,7 @@
 	}
 }
 
-// startNext makes the standby attempt the current one, or begins a new one.
+// startNext makes the standby attempt the current one, or begins a new one. Without a refusal, there is none if the context ended.
 func (c *call) startNext(ctx context.Context) *refusal.Refusal {
 	if c.standby != nil {
 		c.current, c.standby = c.standby, nil
@@ -54,7 +57,7 @@
 		return nil
 	}
 	pick, refused := c.pickRunner(ctx)
-	if refused != nil {
+	if refused != nil || pick.runner == nil {
 		return refused
 	}
 	c.current = c.startAttempt(ctx, pick)
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -178,7 +178,9 @@
 	now := c.d.Clock.Now()
 	c.outcome = Answered
 	c.d.Tracker.recordResult(a.pick.runner, true, now)
-	c.d.Tracker.recordServiceTime(c.service.Name, c.serviceTime(a.sent))
+	took := c.serviceTime(a.sent)
+	c.d.Tracker.recordServiceTime(c.service.Name, took)
+	c.recordServed(took)
 	if c.request.Model != "" {
 		c.d.Demand.RecordDuration(c.service.Name, c.request.Model, now.Sub(a.sent), c.late())
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -40,7 +40,7 @@
 	LinkUp                = Event{Number: 1603, Name: "LinkUp", Level: slog.LevelInfo, Meaning: "The link to the holder of the order lease is up.", Action: "None."}
 	LinkDown              = Event{Number: 1604, Name: "LinkDown", Level: slog.LevelWarn, Meaning: "The link to the holder of the order lease is down.", Action: "Check the lease holder's VM if the link stays down."}
 	CallAnswered          = Event{Number: 1901, Name: "CallAnswered", Level: slog.LevelInfo, Meaning: "A runner answered a request.", Action: "None."}
-	CallRefused           = Event{Number: 1902, Name: "CallRefused", Level: slog.LevelInfo, Meaning: "A request was refused without being run.", Action: "See Reason, Holders and Ready; events 3201 to 3205 show why the models are where they are."}
+	CallRefused           = Event{Number: 1902, Name: "CallRefused", Level: slog.LevelInfo, Meaning: "A request was refused without being run.", Action: "See Reason, Shed, Holders and Ready; events 3201 to 3205 show why the models are where they are."}
 	CallFailed            = Event{Number: 1903, Name: "CallFailed", Level: slog.LevelWarn, Meaning: "A request ended with an error, returned by the runner or by this VM on its behalf.", Action: "See the 1906 events of the same request."}
 	CallAborted           = Event{Number: 1904, Name: "CallAborted", Level: slog.LevelWarn, Meaning: "A response was broken off after it had begun; the caller received `Delivered` bytes of its body.", Action: "See the 1906 events of the same request."}
 	CallerLeft            = Event{Number: 1905, Name: "CallerLeft", Level: slog.LevelInfo, Meaning: "The caller disconnected before the end of the response.", Action: "None."}
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -25,6 +25,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/registry"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 	"github.com/cowsliparch/cowsliparch/internal/settings"
+	"github.com/cowsliparch/cowsliparch/internal/shedding"
 )
 
 // Server runs the process of an entry VM.
@@ -112,9 +113,14 @@
 		Demand:      &demandRecorder{server: s},
 		Buffers:     s.buffers,
 		Guard:       s.guard,
-		Metrics:     dispatch.NewMetrics(s.registry),
-		Clock:       d.Clock,
-		Logger:      d.Logger,
+		Shedding: dispatch.Shedding{
+			ByCost:   func() bool { return s.currentSettings().Limits.Shedding == settings.SheddingByCost },
+			Shedder:  shedding.New(),
+			Stopping: s.Stopping,
+		},
+		Metrics: dispatch.NewMetrics(s.registry),
+		Clock:   d.Clock,
+		Logger:  d.Logger,
 	})
 	s.initControl()
 	s.registerGauges()
