--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -34,6 +34,9 @@
 	// pace is the pace of the runner, 0 if it isn't known, and paceFactor how much longer requests take there than at the mean one.
 	pace       int
 	paceFactor float64
+	// supply is what the ready runners can serve, demand the number of requests per second to the model or 0 if it isn't known.
+	supply loadbalance.Supply
+	demand float64
 }
 
 // requirements describes the runner that a request needs.
@@ -76,6 +79,10 @@
 	if needs.limit > 0 {
 		best.admit = t.picker.Admit(needs.limit, t.knownRate(needs.service, needs.model, now)*float64(len(t.compared))/float64(best.ready))
 	}
+	if needs.limit > 0 {
+		best.supply = t.picker.Supply(needs.limit).Scale(float64(best.ready) / float64(len(t.compared)))
+		best.demand = t.knownRate(needs.service, needs.model, now)
+	}
 	// The preference among runners is no time that the caller waits.
 	best.score = expected - t.candidates[i].Penalty
 	best.inFlight = t.candidates[i].Own + t.candidates[i].Others
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/shedding"
 )
 
 // latencyBuckets are the histogram bounds of response times, in seconds.
@@ -21,6 +22,7 @@
 	failedSends    *prometheus.CounterVec
 	resumedStreams *prometheus.CounterVec
 	accounts       *prometheus.CounterVec
+	shed           *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics registered with the registerer.
@@ -61,7 +63,11 @@
 		Name: "cowsliparch_account_requests_total",
 		Help: "Requests with a known API key by client account and outcome.",
 	}, []string{"account", "outcome"})
-	r.MustRegister(m.requests, m.onTime, m.paused, m.firstByte, m.duration, m.failedSends, m.resumedStreams, m.accounts)
+	m.shed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cowsliparch_requests_shed_total",
+		Help: "Requests that were delayed or refused because of a lack of capacity, by rank and reason.",
+	}, []string{"service", "rank", "action", "reason"})
+	r.MustRegister(m.requests, m.onTime, m.paused, m.firstByte, m.duration, m.failedSends, m.resumedStreams, m.accounts, m.shed)
 	return m
 }
 
@@ -93,6 +99,10 @@
 
 func (m *Metrics) streamResumed(service string) { m.resumedStreams.WithLabelValues(service).Inc() }
 
+func (m *Metrics) requestShed(service string, rank int, d shedding.Decision) {
+	m.shed.WithLabelValues(service, priorityLabel(rank), string(d.Action), string(d.Reason)).Inc()
+}
+
 // priorityLabel limits the label to the priorities that runners accept.
 func priorityLabel(priority int) string {
 	return string(rune('0' + min(max(priority, 0), catalog.LowestPriority)))
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -58,6 +58,7 @@
 	if c.pick.pace > 0 {
 		attrs = append(attrs, slog.Int("Pace", c.pick.pace))
 	}
+	attrs = append(attrs, c.shedAttributes()...)
 	if c.reason != "" {
 		attrs = append(attrs, slog.String("Reason", c.reason))
 	}
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -178,10 +178,12 @@
 	now := c.d.Clock.Now()
 	c.outcome = Answered
 	c.d.Tracker.recordResult(a.pick.runner, true, now)
-	c.d.Tracker.recordServiceTime(c.service.Name, time.Duration(float64(c.serviceTime(a.sent))/a.pick.paceFactor))
+	took := c.serviceTime(a.sent)
+	c.d.Tracker.recordServiceTime(c.service.Name, time.Duration(float64(took)/a.pick.paceFactor))
 	if c.attempts == 1 {
 		c.d.Tracker.recordPauses(c.service.Name, c.pauseRequirement(), c.longestGap, a.pick.pace, now)
 	}
+	c.recordServed(took)
 	if c.request.Model != "" {
 		c.d.Demand.RecordDuration(c.service.Name, c.request.Model, now.Sub(a.sent), c.late())
 	}
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -26,6 +26,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/registry"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 	"github.com/cowsliparch/cowsliparch/internal/settings"
+	"github.com/cowsliparch/cowsliparch/internal/shedding"
 )
 
 // Server runs the process of an entry VM.
@@ -118,9 +119,14 @@
 		Buffers:     s.buffers,
 		Guard:       s.guard,
 		Quotas:      s.quotas,
-		Metrics:     dispatch.NewMetrics(s.registry),
-		Clock:       d.Clock,
-		Logger:      d.Logger,
+		Shedding: dispatch.Shedding{
+			ByCost:   func() bool { return s.currentSettings().Limits.Shedding == settings.SheddingByCost },
+			Shedder:  shedding.New(),
+			Stopping: s.Stopping,
+		},
+		Metrics: dispatch.NewMetrics(s.registry),
+		Clock:   d.Clock,
+		Logger:  d.Logger,
 	})
 	s.guardCallers = s.newGuard()
 	s.initControl()
