quota: count the even share of processes that have just started

Callers: after the loss of all VMs, nearly everything was refused with 429 for half a minute, also far within the quotas.

Cause: the new holder distributes at most what VMs bring along. Processes that have just started reported no share, because they learn the number of VMs a little later; the holder took that for nothing.

Change: a process without a grant brings the even share, which it uses as soon as it knows the number.

TestFreshVMsBringTheEvenShare fails without the change (39 of 500 units) and passes with it.

--- a/internal/quota/allocator_test.go
+++ b/internal/quota/allocator_test.go
@@ -155,3 +155,13 @@
 	g.advance(5*time.Second, map[string]int{"x": 10})
 	require.InDelta(t, 500, g.advance(10*time.Second, map[string]int{"x": 10})["x"], 10)
 }
+
+// After the loss of all VMs, processes report before they know how many VMs there are, and thus no share. The new holder must count the
+// even share that each uses, or else nothing of the quota is granted for half a minute.
+func TestFreshVMsBringTheEvenShare(t *testing.T) {
+	g := newGroup("x", "y", "z")
+	g.recorded = 3
+	g.advance(time.Second, nil)
+	units := g.advance(5*time.Second, map[string]int{"x": 10, "y": 10, "z": 10})
+	require.InDelta(t, 500, units["x"]+units["y"]+units["z"], 150, "the rate, and no more than it and the burst")
+}
--- a/internal/quota/division.go
+++ b/internal/quota/division.go
@@ -149,7 +149,12 @@
 		// Grants of the earlier holder to VMs that are not known yet may be in force.
 		brought := 0.0
 		for _, vm := range d.all {
-			brought += d.vms[vm].account(account, even).brought
+			share := d.vms[vm].account(account, even).brought
+			if d.vms[vm].fresh {
+				// A process that has just started reports no share until it learns N, and uses the even one from then on.
+				share = max(share, even)
+			}
+			brought += share
 		}
 		return min(brought, 1)
 	}
--- a/internal/quota/vmstate.go
+++ b/internal/quota/vmstate.go
@@ -30,8 +30,9 @@
 	seenAt  time.Duration
 	sentAt  time.Duration
 	leaving bool
-	// reads is set if the VM reads grants.
+	// reads is set if the VM reads grants, fresh if it had none when it was first heard of.
 	reads bool
+	fresh bool
 	// inForce holds the grants that may be in force, in order.
 	inForce  []inForce
 	accounts map[string]*vmAccount
@@ -95,7 +96,7 @@
 			// What the VM brings along is told by its next full report.
 			return
 		}
-		v.reads = true
+		v.reads, v.fresh = true, r.Fence == 0
 		v.inForce = []inForce{{accounts: make(map[string]AccountGrant)}}
 	}
 	if r.Fence == fence {
