--- /dev/null
+++ b/pkg/cmd/configuration/check/doc.go
@@ -0,0 +1,2 @@
+// Package check implements the command "cowsliparch configuration check".
+package check
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/capacity/measure"
+	configurationcheck "github.com/cowsliparch/cowsliparch/pkg/cmd/configuration/check"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/configuration/publish"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/configuration/show"
 	"github.com/cowsliparch/cowsliparch/pkg/cmd/demo"
@@ -27,8 +28,8 @@
 			entry.NewCommand(f, nil),
 			serve.NewCommand(f, nil),
 			demo.NewCommand(f, nil),
-			group("configuration", "Publish and show the operators' configuration",
-				publish.NewCommand(f, nil), show.NewCommand(f, nil)),
+			group("configuration", "Check, publish and show the operators' configuration",
+				configurationcheck.NewCommand(f, nil), publish.NewCommand(f, nil), show.NewCommand(f, nil)),
 			group("preset", "List presets and put one in force",
 				list.NewCommand(f, nil), use.NewCommand(f, nil)),
 			group("report", "Show reports on the system",
