--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/cowsliparch/cowsliparch/internal/buffer"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -45,8 +46,10 @@
 	ended   chan struct{}
 	// response is nil until the head has arrived.
 	response *Response
-	// answered is set once an event or, of another response, the whole body has arrived; begun is set once a part was passed on to
-	// the caller.
+	// progress is how far the runner has got with the answer, which begins with the first event of a stream or the first data of
+	// another body.
+	progress quarantine.Progress
+	// answered is set once an event of a stream has arrived; begun is set once a part of the body was passed on to the caller.
 	answered bool
 	begun    bool
 	// body is what has arrived of a response that is passed on as a whole; bodyBytes is the size of all that has arrived.
@@ -83,6 +86,7 @@
 		},
 		sent:       now,
 		lastUpdate: now,
+		progress:   quarantine.NewProgress(now),
 		cancel:     cancel,
 		updates:    make(chan update, updateQueue),
 		ended:      make(chan struct{}),
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -58,6 +58,8 @@
 	mayHaveRun bool
 	// responseStarted is set once a part of a response was sent to the caller, whose head is then settled.
 	responseStarted bool
+	// sound is set once an answer to the request showed that its prompt does not crash runners.
+	sound bool
 	// delivered is the number of bytes of the body that were sent to the caller.
 	delivered int
 	// lastEventID is the ID of the last event that the caller has.
--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -14,10 +15,10 @@
 	// Suspected reports whether a section of the prompt may crash runners, so that a request that may have run is not to be sent
 	// to a second one.
 	Suspected(sections []PromptSection) bool
-	// RecordStrike records that the connection to a runner broke off before any data of a successful response had come.
-	RecordStrike(runner *roster.Runner, sections []PromptSection, sentAt, at time.Time)
-	// RecordSound records that the first data of a successful response has come.
-	RecordSound(sections []PromptSection, sentAt, now time.Time)
+	// RecordStrike records that the connection to a runner broke off, which counts unless the answer shows the prompt to be sound.
+	RecordStrike(runner *roster.Runner, sections []PromptSection, p quarantine.Progress, at time.Time)
+	// RecordAnswer records that a successful answer has begun, and later that it shows the prompt to be sound.
+	RecordAnswer(sections []PromptSection, p quarantine.Progress)
 }
 
 // noGuard is a SectionGuard that lets every prompt pass.
@@ -30,7 +31,7 @@
 func (noGuard) Suspected([]PromptSection) bool { return false }
 
 // RecordStrike implements SectionGuard.
-func (noGuard) RecordStrike(*roster.Runner, []PromptSection, time.Time, time.Time) {}
+func (noGuard) RecordStrike(*roster.Runner, []PromptSection, quarantine.Progress, time.Time) {}
 
-// RecordSound implements SectionGuard.
-func (noGuard) RecordSound([]PromptSection, time.Time, time.Time) {}
+// RecordAnswer implements SectionGuard.
+func (noGuard) RecordAnswer([]PromptSection, quarantine.Progress) {}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -249,6 +249,16 @@
 			route("/unsafe/", catalog.Unsafe, false, 2),
 			route("/stream/", catalog.Streaming, true, 2),
 			route("/once/", catalog.Streaming, false, 2),
+			{
+				Name:        "/whole/",
+				Host:        "h.example",
+				PathPrefix:  "/whole/",
+				Kind:        catalog.Unsafe,
+				Timeout:     10 * time.Second,
+				Objective:   400 * time.Millisecond,
+				MaxAttempts: 2,
+				Targets:     []catalog.Target{{Service: "models", Weight: 1}},
+			},
 		}, []catalog.Service{
 			{Name: "plain"},
 			{Name: "models", Engine: &catalog.Engine{}},
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -49,8 +49,9 @@
 	if err != nil {
 		return c.handleBreak(a, err)
 	}
-	if len(events) > 0 {
-		c.recordSound(a)
+	a.answered = a.answered || len(events) > 0
+	if a.answered && len(u.data) > 0 {
+		c.recordProgress(a, a.progress.WithData(a.lastUpdate))
 	}
 	if id, ok := firstEventID(events); ok && !a.begun && !follows(c.lastEventID, id) {
 		return c.handleBreak(a, &ResumeError{
@@ -65,6 +66,9 @@
 		}
 		_ = a.hold(nil)
 	}
+	if a.complete(u.err) && a.answered {
+		c.recordEnd(a)
+	}
 	switch {
 	case u.err == nil:
 		if a.eventOverdue(a.lastUpdate) && a == c.current && c.standby == nil && c.route.Idempotent() {
@@ -107,6 +111,11 @@
 	}
 	a.body = append(a.body, u.data...)
 	ended := errors.Is(u.err, io.EOF)
+	if ended {
+		c.recordEnd(a)
+	} else if len(u.data) > 0 {
+		c.recordProgress(a, a.progress.WithData(a.lastUpdate))
+	}
 	if u.err != nil && !ended {
 		return c.handleBreak(a, u.err)
 	}
@@ -115,7 +124,6 @@
 	}
 	length := a.response.Length
 	if ended {
-		c.recordSound(a)
 		length = int64(a.bodyBytes)
 	}
 	if !c.passOn(a, a.body, length) {
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -39,6 +39,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if it isn't known.
 	Length int64
+	// EndUnmarked is set if nothing but the end of the connection marks the end of the body, so that a response that broke off may
+	// look complete.
+	EndUnmarked bool
 	// NotRun is set if the runner states that it did not and will not execute the request.
 	NotRun bool
 	// Misdirected is set if the request was meant for another runner, or if the runner lacks the model.
--- a/internal/dispatch/sections.go
+++ b/internal/dispatch/sections.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"syscall"
 
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 )
 
@@ -28,27 +29,37 @@
 }
 
 // suspected reports whether the request may be the one that crashes runners, so that it is not to be sent to a second one. One
-// whose stream has begun is not.
+// whose answer showed its prompt to be sound is not.
 func (c *call) suspected() bool {
-	return c.service.Engine != nil && !c.responseStarted && c.d.Guard.Suspected(c.request.PromptSections)
+	return c.service.Engine != nil && !c.sound && c.d.Guard.Suspected(c.request.PromptSections)
 }
 
 // barred reports whether the request must not be sent to a second runner.
 func (c *call) barred() bool { return c.suspected() || c.quarantineRefusal() != nil }
 
-// recordStrike records that the connection to a runner broke off before the runner had answered the request in part.
+// recordStrike records that the connection to a runner broke off.
 func (c *call) recordStrike(a *attempt, err error) {
-	if c.service.Engine != nil && !a.answered && brokenOff(err) {
-		c.d.Guard.RecordStrike(a.pick.runner, c.request.PromptSections, a.sent, a.lastUpdate)
+	if c.service.Engine != nil && brokenOff(err) {
+		c.d.Guard.RecordStrike(a.pick.runner, c.request.PromptSections, a.progress, a.lastUpdate)
 	}
 }
 
-// recordSound records that a runner has answered the request, at least in part.
-func (c *call) recordSound(a *attempt) {
-	if c.service.Engine != nil && a.response.successful() && !a.answered {
-		c.d.Guard.RecordSound(c.request.PromptSections, a.sent, a.lastUpdate)
+// recordProgress records how far a runner has got with an answer, if that says more of the prompt than before.
+func (c *call) recordProgress(a *attempt, p quarantine.Progress) {
+	before := a.progress
+	a.progress = p
+	if c.service.Engine == nil || !a.response.successful() || (before.Begun() == p.Begun() && before.Sound() == p.Sound()) {
+		return
+	}
+	c.sound = c.sound || p.Sound()
+	c.d.Guard.RecordAnswer(c.request.PromptSections, p)
+}
+
+// recordEnd records that the end of an answer has arrived. Where nothing marks the end, the runner may have crashed.
+func (c *call) recordEnd(a *attempt) {
+	if !a.response.EndUnmarked {
+		c.recordProgress(a, a.progress.WithEnd(a.lastUpdate))
 	}
-	a.answered = true
 }
 
 // brokenOff reports whether an attempt failed because the other side ended the connection.
--- a/internal/dispatch/sections_test.go
+++ b/internal/dispatch/sections_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -25,7 +26,9 @@
 	quarantined string
 	suspected   string
 	strikes     []string
-	sound       int
+	// begun and sound count the answers that began, and those that showed their prompt to be sound.
+	begun int
+	sound int
 }
 
 func has(sections []dispatch.PromptSection, id string) bool {
@@ -44,16 +47,22 @@
 	return has(sections, g.suspected)
 }
 
-func (g *fakeGuard) RecordStrike(runner *roster.Runner, _ []dispatch.PromptSection, _, _ time.Time) {
+func (g *fakeGuard) RecordStrike(runner *roster.Runner, _ []dispatch.PromptSection, p quarantine.Progress, at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.strikes = append(g.strikes, runner.ID)
+	if p.MayCrash(at) {
+		g.strikes = append(g.strikes, runner.ID)
+	}
 }
 
-func (g *fakeGuard) RecordSound([]dispatch.PromptSection, time.Time, time.Time) {
+func (g *fakeGuard) RecordAnswer(_ []dispatch.PromptSection, p quarantine.Progress) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sound++
+	if p.Sound() {
+		g.sound++
+	} else {
+		g.begun++
+	}
 }
 
 func newGuardedHarness(t *testing.T, replies ...reply) (*harness, *fakeGuard) {
@@ -115,46 +124,104 @@
 	}
 }
 
-// A suspected prompt that was declined has not run, and one whose stream has begun is not what ended the runner.
+// A suspected prompt that was declined has not run, and one whose stream went on for a second is not what ended the runner.
 func TestSuspicionKeepsHarmlessRetries(t *testing.T) {
-	for name, first := range map[string]reply{"declined": decline(http.StatusServiceUnavailable), "begun": stream(io.ErrUnexpectedEOF, firstEvent)} {
+	const lastEvent = "id: 9\ndata: last\n\n"
+	for name, first := range map[string]func(h *harness) reply{
+		"declined": func(*harness) reply { return decline(http.StatusServiceUnavailable) },
+		"going on": func(h *harness) reply { return h.breakOffAfter(3) },
+	} {
 		t.Run(name, func(t *testing.T) {
-			h, guard := newGuardedHarness(t, first, stream(nil, secondEvent))
+			h, guard := newGuardedHarness(t)
+			h.sender.replies = []reply{first(h), stream(nil, lastEvent)}
 			guard.suspected = "deadly"
-			h.dispatcher.Serve(t.Context(), h.requestWithSections("/stream/"), h.caller)
+			h.serveAdvancing(t, t.Context(), h.requestWithSections("/stream/"), 50*time.Millisecond)
 			require.Equal(t, 2, h.sender.count())
-			require.Contains(t, h.caller.body, secondEvent)
+			require.Contains(t, h.caller.body, lastEvent)
 		})
 	}
 }
 
-// Only a connection that its runner ended before any data of the response counts against the prompt.
+// brokenReader ends with an error in place of io.EOF.
+type brokenReader struct {
+	io.Reader
+}
+
+func (r *brokenReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// breakOffAfter replies with a stream that breaks off after some events, with 400 ms between two of them.
+func (h *harness) breakOffAfter(events int) reply {
+	return func(context.Context, *dispatch.Request, dispatch.Attempt) (*dispatch.Response, error) {
+		return &dispatch.Response{
+			Status: http.StatusOK,
+			Length: -1,
+			Body: &brokenReader{Reader: &pacedReader{
+				clock:  h.clock,
+				pause:  400 * time.Millisecond,
+				events: events,
+			}},
+		}, nil
+	}
+}
+
+// unframed has nothing but the end of the connection mark the end of a response.
+func unframed(next reply) reply {
+	return func(ctx context.Context, r *dispatch.Request, attempt dispatch.Attempt) (*dispatch.Response, error) {
+		response, err := next(ctx, r, attempt)
+		response.EndUnmarked = true
+		return response, err
+	}
+}
+
+// Only a connection that its runner ended before the answer went on for a while counts against the prompt, and only an answer that did
+// so, or is whole, shows it to be sound.
 func TestEvidenceAgainstPrompt(t *testing.T) {
 	malformed := func(context.Context, *dispatch.Request, dispatch.Attempt) (*dispatch.Response, error) {
 		return nil, &endpoint.NoResponseError{Cause: errors.New("malformed HTTP response")}
 	}
+	goingOn := func(events int) func(h *harness) reply {
+		return func(h *harness) reply { return h.breakOffAfter(events) }
+	}
+	always := func(r reply) func(h *harness) reply {
+		return func(*harness) reply { return r }
+	}
 	for name, tt := range map[string]struct {
 		path    string
-		reply   reply
+		reply   func(h *harness) reply
 		strikes int
+		begun   int
 		sound   int
 	}{
-		"crash":              {"/once/", crash, 1, 0},
-		"end without a head": {"/once/", loseResponse, 1, 0},
-		"end after the head": {"/once/", stream(io.ErrUnexpectedEOF), 1, 0},
-		"end in first event": {"/once/", stream(io.ErrUnexpectedEOF, "id: 1\nda"), 1, 0},
-		"end after an event": {"/once/", stream(io.ErrUnexpectedEOF, firstEvent), 0, 1},
-		"malformed":          {"/once/", malformed, 0, 0},
-		"not sent":           {"/once/", failNotSent, 0, 0},
-		"declined":           {"/once/", decline(http.StatusServiceUnavailable), 0, 0},
-		"error":              {"/once/", respond(http.StatusInternalServerError, "no"), 0, 0},
-		"answered":           {"/once/", stream(nil, firstEvent, secondEvent), 0, 1},
-		"no model service":   {"/unsafe/", crash, 0, 0},
+		"crash":                {"/once/", always(crash), 1, 0, 0},
+		"end without a head":   {"/once/", always(loseResponse), 1, 0, 0},
+		"end after the head":   {"/once/", always(stream(io.ErrUnexpectedEOF)), 1, 0, 0},
+		"end in first event":   {"/once/", always(stream(io.ErrUnexpectedEOF, "id: 1\nda")), 1, 0, 0},
+		"end after an event":   {"/once/", always(stream(io.ErrUnexpectedEOF, firstEvent)), 1, 1, 0},
+		"end after two":        {"/once/", goingOn(2), 1, 1, 0},
+		"end after a second":   {"/once/", goingOn(3), 0, 1, 1},
+		"malformed":            {"/once/", always(malformed), 0, 0, 0},
+		"not sent":             {"/once/", always(failNotSent), 0, 0, 0},
+		"declined":             {"/once/", always(decline(http.StatusServiceUnavailable)), 0, 0, 0},
+		"error":                {"/once/", always(respond(http.StatusInternalServerError, "no")), 0, 0, 0},
+		"answered":             {"/once/", always(stream(nil, firstEvent, secondEvent)), 0, 1, 1},
+		"unframed end":         {"/once/", always(unframed(stream(nil, firstEvent, secondEvent))), 0, 1, 0},
+		"whole body, cut":      {"/whole/", always(stream(io.ErrUnexpectedEOF, "part")), 1, 1, 0},
+		"whole body, unframed": {"/whole/", always(unframed(stream(nil, "all"))), 0, 1, 0},
+		"whole body":           {"/whole/", always(respond(http.StatusOK, "all")), 0, 1, 1},
+		"no model service":     {"/unsafe/", always(crash), 0, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h, guard := newGuardedHarness(t, tt.reply)
-			h.dispatcher.Serve(t.Context(), h.requestWithSections(tt.path), h.caller)
+			h, guard := newGuardedHarness(t)
+			h.sender.replies = []reply{tt.reply(h)}
+			h.serveAdvancing(t, t.Context(), h.requestWithSections(tt.path), 50*time.Millisecond)
 			require.Len(t, guard.strikes, tt.strikes)
+			require.Equal(t, tt.begun, guard.begun)
 			require.Equal(t, tt.sound, guard.sound)
 		})
 	}
--- a/internal/dispatch/takeover_sections_test.go
+++ b/internal/dispatch/takeover_sections_test.go
@@ -28,7 +28,7 @@
 func TestEmptyContinuationIsNoStrike(t *testing.T) {
 	h, guard := newGuardedHarness(t, stream(io.ErrUnexpectedEOF, firstEvent), stream(io.EOF))
 	h.dispatcher.Serve(t.Context(), h.requestWithSections("/stream/"), h.caller)
-	require.Empty(t, guard.strikes)
+	require.Equal(t, h.sender.runners[:1], guard.strikes, "only the stream that broke off counts")
 }
 
 // slowCaller takes a while for each write.
--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -67,11 +67,11 @@
 
 func (r *Response) canReuse() bool {
 	return !r.response.Close && !r.conn.mismatched && r.conn.reader.Buffered() == 0 && r.conn.pendingWrites.Load() == 0 &&
-		!r.conn.writeFailed.Load() && !r.closeDelimited()
+		!r.conn.writeFailed.Load() && !r.CloseDelimited()
 }
 
-// closeDelimited reports whether the end of the body is marked only by the end of the connection.
-func (r *Response) closeDelimited() bool {
+// CloseDelimited reports whether the end of the body is marked only by the end of the connection.
+func (r *Response) CloseDelimited() bool {
 	return r.response.ContentLength < 0 && len(r.response.TransferEncoding) == 0
 }
 
--- a/internal/promptguard/duties.go
+++ b/internal/promptguard/duties.go
@@ -40,10 +40,11 @@
 	case linked:
 		g.dropOverruled(now)
 	}
-	g.sounds.expire(now)
-	for section, at := range g.reportedAt {
+	g.begun.expire(now)
+	g.proven.expire(now)
+	for key, at := range g.reportedAt {
 		if now.Sub(at) > requestReportInterval {
-			delete(g.reportedAt, section)
+			delete(g.reportedAt, key)
 		}
 	}
 	g.refresh(now)
@@ -58,8 +59,8 @@
 			continue
 		}
 		g.list.Requested(section, at)
-		if now.Sub(g.reportedAt[requestKey(section)]) >= requestReportInterval {
-			g.reportedAt[requestKey(section)] = now
+		if key := (reportKey{section, requestReport}); now.Sub(g.reportedAt[key]) >= requestReportInterval {
+			g.reportedAt[key] = now
 			requested = append(requested, section)
 		}
 	}
@@ -68,9 +69,6 @@
 	}
 }
 
-// requestKey is the key under which the report of a section's requests is remembered.
-func requestKey(section string) string { return "request:" + section }
-
 // paroleExpired ends the quarantine of sections that were not requested for long enough.
 func (g *Guard) paroleExpired(now time.Time) {
 	for section, checked := range g.view.Load().quarantined {
--- a/internal/promptguard/exchange.go
+++ b/internal/promptguard/exchange.go
@@ -36,12 +36,13 @@
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	e := quarantine.Evidence{
-		Sound:   g.sounds.ages(g.sounds.newest(), now),
-		Entries: quarantine.ReportEntries(g.list.Entries(now), now),
+		Sound:       g.begun.ages(g.begun.newest(), now),
+		ProvenSound: g.proven.ages(g.proven.newest(), now),
+		Entries:     quarantine.ReportEntries(g.list.Entries(now), now),
 	}
 	for _, strike := range g.recent {
 		if now.Sub(strike.At) <= recentTTL || slices.ContainsFunc(strike.Sections, g.detector.Convicted) {
-			e.Strikes = append(e.Strikes, quarantine.ReportStrike(strike, now))
+			e = e.WithStrike(strike, now)
 		}
 	}
 	return e
@@ -56,16 +57,17 @@
 	for _, report := range e.Entries {
 		g.merge(report.Entry(now), now)
 	}
-	for _, report := range e.Successes {
-		g.release(g.detector.Success(report.Success(now)), reasonAnswered, now)
+	for _, success := range e.ReceivedSuccesses(now) {
+		g.release(g.detector.Success(success), reasonAnswered, now)
 	}
-	g.recordSound(e.Sound, now)
+	g.recordSound(e.Sound, false, now)
+	g.recordSound(e.ProvenSound, true, now)
 	g.judge(now)
-	for _, report := range e.Strikes {
-		if report.Age > oldEvidence && !now.Before(g.judgeAt) {
+	for _, strike := range e.ReceivedStrikes(now) {
+		if now.Sub(strike.At) > oldEvidence && !now.Before(g.judgeAt) {
 			g.deferJudgment(replayDelay, now)
 		}
-		g.record(report.Strike(now), now)
+		g.record(strike, now)
 	}
 	g.judge(now)
 	for _, report := range e.Running {
@@ -110,8 +112,12 @@
 func (g *Guard) reportKnownSound(watched []string, now time.Time) {
 	before := setOf(g.fromHolder.Watched)
 	added := slices.DeleteFunc(slices.Clone(watched), func(section string) bool { return before[section] })
-	if ages := g.sounds.ages(added, now); len(ages) > 0 {
-		g.report(quarantine.Evidence{Sound: ages})
+	known := quarantine.Evidence{
+		Sound:       g.begun.ages(added, now),
+		ProvenSound: g.proven.ages(added, now),
+	}
+	if len(known.Sound) > 0 || len(known.ProvenSound) > 0 {
+		g.report(known)
 	}
 }
 
--- a/internal/promptguard/guard.go
+++ b/internal/promptguard/guard.go
@@ -55,8 +55,10 @@
 // Guard implements dispatch.SectionGuard; it is safe for concurrent use.
 type Guard struct {
 	Dependencies
-	view   atomic.Pointer[view]
-	sounds sounds
+	view atomic.Pointer[view]
+	// begun remembers sections whose answers began, proven those of answers that showed them to be sound.
+	begun  sounds
+	proven sounds
 	// wake requests a broadcast, saveWake a round of saving, followWake rounds of following incarnations.
 	wake       chan struct{}
 	saveWake   chan struct{}
@@ -77,7 +79,7 @@
 	// recent holds this VM's newest strikes.
 	recent []quarantine.Strike
 	// reportedAt is when a success or request of a section was last reported.
-	reportedAt map[string]time.Time
+	reportedAt map[reportKey]time.Time
 	// suspects are those last logged.
 	suspects map[string]bool
 	// sent is what was last broadcast, and sentEntries the records last broadcast.
@@ -112,7 +114,7 @@
 		detector:     quarantine.NewDetector(),
 		list:         quarantine.NewList(),
 		role:         alone,
-		reportedAt:   make(map[string]time.Time),
+		reportedAt:   make(map[reportKey]time.Time),
 		suspects:     make(map[string]bool),
 		own:          make(map[string]bool),
 		active:       make(map[string]bool),
@@ -120,7 +122,7 @@
 		saved:        make(map[string]quarantine.Entry),
 		pulses:       make(map[quarantine.Incarnation]*pulse),
 	}
-	g.sounds.at = make(map[string]time.Time)
+	g.begun.at, g.proven.at = make(map[string]time.Time), make(map[string]time.Time)
 	g.view.Store(&view{})
 	return g
 }
@@ -153,16 +155,15 @@
 }
 
 // RecordStrike implements dispatch.SectionGuard.
-func (g *Guard) RecordStrike(runner *roster.Runner, sections []dispatch.PromptSection, sentAt, at time.Time) {
-	strike := quarantine.Strike{
-		Incarnation: quarantine.Incarnation{
-			Runner: runner.ID,
-			Number: runner.Incarnation,
-		},
-		Sections: trackedIDs(sections),
-		SentAt:   sentAt,
-		At:       at,
+func (g *Guard) RecordStrike(runner *roster.Runner, sections []dispatch.PromptSection, p quarantine.Progress, at time.Time) {
+	if !p.MayCrash(at) {
+		return
+	}
+	incarnation := quarantine.Incarnation{
+		Runner: runner.ID,
+		Number: runner.Incarnation,
 	}
+	strike := p.Strike(incarnation, trackedIDs(sections), at)
 	if len(strike.Sections) == 0 {
 		return
 	}
@@ -177,46 +178,61 @@
 	g.followed = append(g.followed, strike)
 	signal(g.followWake)
 	g.updateRole(now)
-	g.report(quarantine.Evidence{
-		Strikes: []quarantine.StrikeReport{quarantine.ReportStrike(strike, now)},
-	})
+	g.report(quarantine.Evidence{}.WithStrike(strike, now))
 	g.record(strike, now)
 	g.judge(now)
 	g.refresh(now)
 	signal(g.wake)
 }
 
-// RecordSound implements dispatch.SectionGuard.
-func (g *Guard) RecordSound(sections []dispatch.PromptSection, sentAt, now time.Time) {
-	success := quarantine.Success{
-		Sections: trackedIDs(sections),
-		SentAt:   sentAt,
-		At:       now,
+// RecordAnswer implements dispatch.SectionGuard.
+func (g *Guard) RecordAnswer(sections []dispatch.PromptSection, p quarantine.Progress) {
+	success := p.Success(trackedIDs(sections))
+	g.begun.record(success.Sections, success.SoundAt())
+	if success.Proven {
+		g.proven.record(success.Sections, success.SoundAt())
 	}
-	g.sounds.record(success.Sections, success.SoundAt())
 	v := g.view.Load()
 	if !slices.ContainsFunc(success.Sections, v.matters) {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.reportDue(success.Sections, v, now) {
+	now := g.Clock.Now()
+	if !g.reportDue(success, v, now) {
 		return
 	}
 	g.updateRole(now)
-	g.report(quarantine.Evidence{
-		Successes: []quarantine.SuccessReport{quarantine.ReportSuccess(success, now)},
-	})
+	g.report(quarantine.Evidence{}.WithSuccess(success, now))
 	g.release(g.detector.Success(success), reasonAnswered, now)
 	signal(g.wake)
 }
 
-// reportDue reports whether a success of one of the sections matters and has not been reported for a while.
-func (g *Guard) reportDue(sections []string, v *view, now time.Time) bool {
+// reportKind is what is reported of a section.
+type reportKind int
+
+const (
+	begunReport reportKind = iota
+	provenReport
+	requestReport
+)
+
+// reportKey identifies the reports of one kind of a section.
+type reportKey struct {
+	section string
+	kind    reportKind
+}
+
+// reportDue reports whether a success with one of its sections matters and has not been reported for a while.
+func (g *Guard) reportDue(success quarantine.Success, v *view, now time.Time) bool {
 	due := false
-	for _, section := range sections {
-		if v.matters(section) && now.Sub(g.reportedAt[section]) >= reportInterval {
-			g.reportedAt[section] = now
+	for _, section := range success.Sections {
+		key := reportKey{section, begunReport}
+		if success.Proven {
+			key.kind = provenReport
+		}
+		if v.matters(section) && now.Sub(g.reportedAt[key]) >= reportInterval {
+			g.reportedAt[key] = now
 			due = true
 		}
 	}
--- a/internal/promptguard/guard_test.go
+++ b/internal/promptguard/guard_test.go
@@ -215,7 +215,7 @@
 func (c *fakeCluster) crash(v *vm, runner string, ids ...string) {
 	sentAt := c.clock.Now()
 	c.pass(time.Second)
-	v.RecordStrike(&roster.Runner{ID: runner}, prompt(ids...), sentAt, c.clock.Now())
+	v.RecordStrike(&roster.Runner{ID: runner}, prompt(ids...), quarantine.NewProgress(sentAt), c.clock.Now())
 	c.settle()
 }
 
@@ -223,7 +223,7 @@
 func (c *fakeCluster) answer(v *vm, ids ...string) {
 	sentAt := c.clock.Now()
 	c.pass(time.Second)
-	v.RecordSound(prompt(ids...), sentAt, c.clock.Now())
+	v.RecordAnswer(prompt(ids...), quarantine.NewProgress(sentAt).WithEnd(c.clock.Now()))
 	c.settle()
 }
 
@@ -287,7 +287,7 @@
 	c.crash(c.vms[1], "r1", "a")
 	sent := c.sent
 	for range 10 {
-		c.vms[1].RecordSound(prompt("a"), c.clock.Now(), c.clock.Now())
+		c.vms[1].RecordAnswer(prompt("a"), quarantine.NewProgress(c.clock.Now()).WithEnd(c.clock.Now()))
 	}
 	require.Equal(t, sent+1, c.sent)
 }
--- a/internal/promptguard/persist_test.go
+++ b/internal/promptguard/persist_test.go
@@ -99,7 +99,7 @@
 	require.True(t, refused)
 	for i, runner := range []string{"r1", "r2", "r3"} {
 		at := now.Add(time.Duration(i) * time.Second)
-		g.RecordStrike(&roster.Runner{ID: runner}, prompt("deadly"), at, at.Add(time.Second))
+		g.RecordStrike(&roster.Runner{ID: runner}, prompt("deadly"), quarantine.NewProgress(at), at.Add(time.Second))
 	}
 	require.Eventually(t, func() bool { return store.has("deadly") && !store.has("old") }, waitTimeout, pollInterval)
 	stop()
--- a/internal/promptguard/simulation_seeds_test.go
+++ b/internal/promptguard/simulation_seeds_test.go
@@ -13,18 +13,24 @@
 // Linked guards keep a deadly section from the runners, and no other one, whether or not the lease holder is replaced while they
 // find out.
 func TestSimulatedCluster(t *testing.T) {
-	for name, replaceAfter := range map[string]time.Duration{
-		"calm":                              0,
-		"holder replaced at once":           500 * time.Millisecond,
-		"holder replaced after the verdict": 8 * time.Second,
+	for name, scenario := range map[string]struct {
+		replaceAfter time.Duration
+		crashAfter   time.Duration
+	}{
+		"calm":                              {0, 0},
+		"holder replaced at once":           {500 * time.Millisecond, 0},
+		"holder replaced after the verdict": {8 * time.Second, 0},
+		"crashes after the first data":      {0, 100 * time.Millisecond},
+		"both":                              {500 * time.Millisecond, 100 * time.Millisecond},
 	} {
 		for _, vms := range []int{8, 89} {
 			for seed := range *seeds {
 				t.Run(fmt.Sprintf("%d VMs, %s, seed %d", vms, name, seed), func(t *testing.T) {
 					t.Parallel()
 					s := newSimulation(t, vms, vms+1, uint64(seed))
-					if replaceAfter > 0 {
-						s.after(replaceAfter, s.replaceHolder)
+					s.crashAfter = scenario.crashAfter
+					if scenario.replaceAfter > 0 {
+						s.after(scenario.replaceAfter, s.replaceHolder)
 					}
 					s.run(20 * time.Second)
 					t.Logf("crashes %d, requests late %d, served %d", s.crashes, s.lateRequests, s.served)
--- a/internal/promptguard/simulation_test.go
+++ b/internal/promptguard/simulation_test.go
@@ -35,6 +35,8 @@
 	vms     []*simVM
 	holder  *simVM
 	runners []*simRunner
+	// crashAfter is how long after the first data of its answer a request with the deadly section ends its runner, 0 if before any.
+	crashAfter time.Duration
 	// crashes, lateRequests and served count what happens to the requests.
 	crashes      int
 	fifthCrash   time.Time
@@ -59,7 +61,10 @@
 }
 
 type simRequest struct {
-	vm      *simVM
+	vm       *simVM
+	progress quarantine.Progress
+	// delay is the time that data takes from the runner to the VM.
+	delay   time.Duration
 	prompt  []dispatch.PromptSection
 	deadly  bool
 	sentAt  time.Time
@@ -221,6 +226,7 @@
 	}
 	runner := up[s.random.IntN(len(up))]
 	r.sentAt = s.clock.Now()
+	r.progress, r.delay = quarantine.NewProgress(r.sentAt), s.between(0, 65*time.Millisecond)
 	if r.deadly && s.crashes >= 5 && r.sentAt.Sub(s.fifthCrash) > 4*time.Second {
 		s.lateRequests++
 	}
@@ -229,30 +235,49 @@
 }
 
 func (s *simulation) begin(runner *simRunner, r *simRequest) {
-	i := slices.Index(runner.pending, r)
-	if i < 0 {
+	if !slices.Contains(runner.pending, r) {
 		return
 	}
+	if !r.deadly || s.crashAfter > 0 {
+		s.after(r.delay, func() {
+			r.vm.received[runner.ID] = s.clock.Now()
+			r.progress = r.progress.WithData(s.clock.Now())
+			r.vm.RecordAnswer(r.prompt, r.progress)
+		})
+	}
 	if r.deadly {
-		s.crash(runner)
+		s.after(s.crashAfter, func() { s.crash(runner, r) })
 		return
 	}
-	runner.pending = slices.Delete(runner.pending, i, i+1)
 	s.served++
-	s.after(s.between(0, 65*time.Millisecond), func() {
-		r.vm.received[runner.ID] = s.clock.Now()
-		r.vm.RecordSound(r.prompt, r.sentAt, s.clock.Now())
+	s.after(s.between(100*time.Millisecond, 1500*time.Millisecond), func() { s.finish(runner, r) })
+}
+
+// finish ends the answer to a request unless its runner has crashed.
+func (s *simulation) finish(runner *simRunner, r *simRequest) {
+	i := slices.Index(runner.pending, r)
+	if i < 0 {
+		return
+	}
+	runner.pending = slices.Delete(runner.pending, i, i+1)
+	s.after(r.delay, func() {
+		r.progress = r.progress.WithEnd(s.clock.Now())
+		r.vm.RecordAnswer(r.prompt, r.progress)
 	})
 }
 
-func (s *simulation) crash(runner *simRunner) {
+// crash ends the runner of a request, unless the request is no longer there.
+func (s *simulation) crash(runner *simRunner, cause *simRequest) {
+	if !slices.Contains(runner.pending, cause) {
+		return
+	}
 	if s.crashes++; s.crashes == 5 {
 		s.fifthCrash = s.clock.Now()
 	}
 	crashed := runner.Runner
 	for _, r := range runner.pending {
-		s.after(s.between(0, 65*time.Millisecond), func() {
-			r.vm.RecordStrike(&crashed, r.prompt, r.sentAt, s.clock.Now())
+		s.after(r.delay, func() {
+			r.vm.RecordStrike(&crashed, r.prompt, r.progress, s.clock.Now())
 			if !r.retried && !r.vm.Suspected(r.prompt) {
 				r.retried = true
 				s.send(r)
--- a/internal/promptguard/verdicts.go
+++ b/internal/promptguard/verdicts.go
@@ -54,13 +54,14 @@
 // record passes a strike to the detector, with what this VM knows of the sections.
 func (g *Guard) record(s quarantine.Strike, now time.Time) {
 	g.release(g.detector.Record(s), reasonAlive, now)
-	g.recordSound(g.sounds.ages(s.Sections, now), now)
+	g.recordSound(g.begun.ages(s.Sections, now), false, now)
+	g.recordSound(g.proven.ages(s.Sections, now), true, now)
 }
 
-// recordSound records how long ago sections were sound.
-func (g *Guard) recordSound(ages map[string]time.Duration, now time.Time) {
+// recordSound records how long ago answers with sections began, and whether they were proven to be sound.
+func (g *Guard) recordSound(ages map[string]time.Duration, proven bool, now time.Time) {
 	for section, age := range ages {
-		if trackable(section) && g.detector.Sound(section, now.Add(-max(age, 0))) {
+		if trackable(section) && g.detector.Sound(section, now.Add(-max(age, 0)), proven) {
 			g.release([]string{section}, reasonAnswered, now)
 		}
 	}
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -14,9 +15,10 @@
 	crashSpan = 3 * time.Second
 	// strikeTTL is how long a strike counts.
 	strikeTTL = 10 * time.Minute
-	// maxSections, maxCrashes, maxStrikes and maxCrashSections bound the memory: the sections with evidence, the crashes, the
-	// strikes of a section and the sections of a crash.
-	maxSections      = 1024
+	// maxSuspicions, maxCrashes, maxStrikes, maxCrashSections and maxParoled bound the memory: the suspicions, the crashes, the
+	// strikes of a suspicion, the suspects of a crash and the sections on parole.
+	maxSuspicions    = 2048
+	maxParoled       = 1024
 	maxCrashes       = 512
 	maxStrikes       = 32
 	maxCrashSections = 128
@@ -24,10 +26,31 @@
 	maxWatched = 64
 )
 
+// stage is when a section crashes its runners.
+type stage int
+
+const (
+	// beforeData means that runners end before any data of the answer arrives.
+	beforeData stage = iota
+	// afterData means that runners end soon after the first data of the answer. Requests that ran beside one with such a section may
+	// have begun as recently, so only an answer that went on shows that a section is not of this kind.
+	afterData
+)
+
+// stages lists all stages.
+var stages = [...]stage{beforeData, afterData}
+
+// suspect is a section that may crash runners in a stage. The stages have evidence of their own, since a section that crashes runners
+// does so in the same stage each time, and one that ran beside it was in either.
+type suspect struct {
+	section string
+	stage   stage
+}
+
 // Detector finds the sections that crash runners. It is not safe for concurrent use.
 type Detector struct {
-	sections map[string]*suspicion
-	crashes  map[Incarnation]*crash
+	suspicions map[suspect]*suspicion
+	crashes    map[Incarnation]*crash
 	// convicted holds the convictions in force, paroled the sections whose conviction has expired.
 	convicted map[string]conviction
 	paroled   map[string]time.Time
@@ -36,8 +59,8 @@
 // crash is the break-off of an incarnation's connections.
 type crash struct {
 	at time.Time
-	// sections lists those of the requests that were pending.
-	sections map[string]bool
+	// suspects lists the sections of the requests that broke off.
+	suspects map[suspect]bool
 	// explained is set if a convicted section was pending.
 	explained bool
 	// aliveAt is until when the incarnation is known to have run.
@@ -47,9 +70,16 @@
 // alive reports whether the incarnation ran on, so that there was no crash.
 func (c *crash) alive() bool { return c.aliveAt.After(c.at) }
 
+// has reports whether a section was pending in any stage.
+func (c *crash) has(section string) bool {
+	return c.suspects[suspect{section, beforeData}] || c.suspects[suspect{section, afterData}]
+}
+
 // conviction is the finding that a section crashes runners.
 type conviction struct {
 	at time.Time
+	// stage is when the section crashes runners. Of a conviction that another VM made, it is afterData, which takes more to refute.
+	stage stage
 	// strikes is the number of consecutive strikes that it needs, or 0 if another VM made it.
 	strikes int
 }
@@ -57,10 +87,10 @@
 // NewDetector returns a detector without evidence.
 func NewDetector() *Detector {
 	return &Detector{
-		sections:  make(map[string]*suspicion),
-		crashes:   make(map[Incarnation]*crash),
-		convicted: make(map[string]conviction),
-		paroled:   make(map[string]time.Time),
+		suspicions: make(map[suspect]*suspicion),
+		crashes:    make(map[Incarnation]*crash),
+		convicted:  make(map[string]conviction),
+		paroled:    make(map[string]time.Time),
 	}
 }
 
@@ -71,8 +101,8 @@
 		return released
 	}
 	for _, section := range s.Sections {
-		if len(c.sections) < maxCrashSections {
-			c.sections[section] = true
+		if len(c.suspects) < maxCrashSections {
+			c.suspects[suspect{section, s.stage()}] = true
 		}
 		c.explained = c.explained || d.Convicted(section)
 	}
@@ -81,37 +111,44 @@
 	}
 	for depth, section := range s.Sections {
 		if !c.explained || d.Convicted(section) {
-			d.suspicionOf(section).add(s, depth)
+			d.suspicionOf(suspect{section, s.stage()}).add(s, depth)
 		}
 	}
-	d.evictSections()
+	d.evictSuspicions()
 	return released
 }
 
-// Success records that an answer has begun and returns the sections whose conviction it refutes.
-func (d *Detector) Success(s Success) (released []string) {
-	soundAt := s.SoundAt()
-	for _, section := range s.Sections {
-		if d.Sound(section, soundAt) {
+// Success records an answer and returns the sections whose conviction it refutes.
+func (d *Detector) Success(success Success) (released []string) {
+	soundAt := success.SoundAt()
+	for _, section := range success.Sections {
+		if d.Sound(section, soundAt, success.Proven) {
 			released = append(released, section)
 		}
 	}
 	return released
 }
 
-// Sound records that a section was sound at a time, and reports whether that refutes its conviction.
-func (d *Detector) Sound(section string, at time.Time) (released bool) {
-	known := d.sections[section] != nil
-	suspected := d.suspicionOf(section)
-	suspected.clear(at)
-	d.evictSections()
+// Sound records that an answer with a section began at a time, and whether it was proven to be sound, and reports whether that refutes
+// the section's conviction.
+func (d *Detector) Sound(section string, at time.Time, proven bool) (released bool) {
 	c, convicted := d.convicted[section]
-	refuted := at.After(c.at) || known && suspected.count() < c.strikes
-	if !convicted || !refuted {
-		return false
+	refuted := convicted && (proven || c.stage == beforeData) && at.After(c.at)
+	for _, stage := range stages {
+		if stage == afterData && !proven {
+			continue
+		}
+		s := suspect{section, stage}
+		known := d.suspicions[s] != nil
+		suspected := d.suspicionOf(s)
+		suspected.clear(at)
+		refuted = refuted || convicted && stage == c.stage && known && suspected.count() < c.strikes
 	}
-	d.Release(section)
-	return true
+	d.evictSuspicions()
+	if refuted {
+		d.Release(section)
+	}
+	return refuted
 }
 
 // Alive records that an incarnation ran at a time after a connection to it had broken off, so that no section had crashed it. It
@@ -122,15 +159,15 @@
 		return nil
 	}
 	c.aliveAt = at
-	for section := range c.sections {
-		suspected := d.sections[section]
+	for s := range c.suspects {
+		suspected := d.suspicions[s]
 		if suspected == nil {
 			continue
 		}
 		suspected.drop(incarnation)
-		if c, convicted := d.convicted[section]; convicted && suspected.count() < min(c.strikes, suspectStrikes) {
-			d.Release(section)
-			released = append(released, section)
+		if c, convicted := d.convicted[s.section]; convicted && c.stage == s.stage && suspected.count() < min(c.strikes, suspectStrikes) {
+			d.Release(s.section)
+			released = append(released, s.section)
 		}
 	}
 	return released
@@ -141,22 +178,32 @@
 	if c, convicted := d.convicted[section]; convicted && c.strikes == 0 {
 		return
 	}
-	d.sentence(section, conviction{at: at})
-	delete(d.sections, section)
+	d.sentence(section, conviction{
+		at:    at,
+		stage: afterData,
+	})
+	d.forget(section)
 }
 
 // Release drops a conviction and what was held against the section.
 func (d *Detector) Release(section string) {
 	delete(d.convicted, section)
 	delete(d.paroled, section)
-	delete(d.sections, section)
+	d.forget(section)
+}
+
+// forget drops what is held against a section.
+func (d *Detector) forget(section string) {
+	for _, stage := range stages {
+		delete(d.suspicions, suspect{section, stage})
+	}
 }
 
 // Parole records that a conviction has expired: one strike convicts the section again.
 func (d *Detector) Parole(section string, now time.Time) {
 	d.Release(section)
 	d.paroled[section] = now
-	evictOldest(d.paroled, maxSections, func(at time.Time) time.Time { return at })
+	evictOldest(d.paroled, maxParoled, func(at time.Time) time.Time { return at })
 }
 
 // Convictions returns the convicted sections.
@@ -171,28 +218,19 @@
 // Watched returns the sections with strikes, whose successes matter, those with the most strikes first, and the suspects among
 // them.
 func (d *Detector) Watched(now time.Time) (watched, suspects []string) {
-	counts := make(map[string]int)
-	for section, suspected := range d.sections {
-		if d.Convicted(section) {
+	counts, changedAt := make(map[string]int), make(map[string]time.Time)
+	for s, suspected := range d.suspicions {
+		if d.Convicted(s.section) {
 			continue
 		}
 		suspected.expire(now)
 		if count := suspected.count(); count > 0 {
-			counts[section] = count
-			watched = append(watched, section)
+			counts[s.section] = max(counts[s.section], count)
+			changedAt[s.section] = latest(changedAt[s.section], suspected.changedAt())
 		}
 	}
-	slices.SortFunc(watched, func(a, b string) int {
-		if counts[a] != counts[b] {
-			return counts[b] - counts[a]
-		}
-		if order := d.sections[b].changedAt().Compare(d.sections[a].changedAt()); order != 0 {
-			return order
-		}
-		if a < b {
-			return -1
-		}
-		return 1
+	watched = slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(counts[b]-counts[a], changedAt[b].Compare(changedAt[a]), cmp.Compare(a, b))
 	})
 	watched = watched[:min(len(watched), maxWatched)]
 	for _, section := range watched {
@@ -214,11 +252,11 @@
 	return crashed
 }
 
-func (d *Detector) suspicionOf(section string) *suspicion {
-	suspected := d.sections[section]
+func (d *Detector) suspicionOf(s suspect) *suspicion {
+	suspected := d.suspicions[s]
 	if suspected == nil {
 		suspected = &suspicion{}
-		d.sections[section] = suspected
+		d.suspicions[s] = suspected
 	}
 	return suspected
 }
@@ -235,7 +273,7 @@
 	}
 	next := &crash{
 		at:       at,
-		sections: make(map[string]bool),
+		suspects: make(map[suspect]bool),
 	}
 	if c != nil {
 		next.aliveAt = c.aliveAt
@@ -245,9 +283,9 @@
 	return next, released
 }
 
-// evictSections drops the sections whose evidence is oldest if there are too many.
-func (d *Detector) evictSections() {
-	evictOldest(d.sections, maxSections, func(s *suspicion) time.Time { return s.changedAt() })
+// evictSuspicions drops those whose evidence is oldest if there are too many.
+func (d *Detector) evictSuspicions() {
+	evictOldest(d.suspicions, maxSuspicions, func(s *suspicion) time.Time { return s.changedAt() })
 }
 
 // evictOldest deletes the oldest entries of a map until it has at most limit.
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// proven returns a success that shows that no section crashes runners after their first data.
+func proven(sent, begun float64, sections ...string) quarantine.Success {
+	s := success(sent, begun, sections...)
+	s.Proven = true
+	return s
+}
+
+// begun returns a strike at a runner that had begun to answer.
+func begun(runner string, sent, brokeOff float64, sections ...string) quarantine.Strike {
+	s := strike(runner, sent, brokeOff, sections...)
+	s.Begun = true
+	return s
+}
+
 // convictions feeds strikes to a detector and returns what it convicts.
 func convictions(d *quarantine.Detector, strikes ...quarantine.Strike) []string {
 	var convicted []string
@@ -215,7 +229,8 @@
 	require.Empty(t, convictions(d, strike("r1", 6, 7, "s", "t")))
 	watched, _ := d.Watched(at(7))
 	require.Empty(t, watched, "the conviction explains the crash")
-	require.Equal(t, []string{"s"}, d.Success(success(6, 8, "s")))
+	require.Empty(t, d.Success(success(6, 8, "s")), "the section may crash runners after their first data")
+	require.Equal(t, []string{"s"}, d.Success(proven(6, 8, "s")))
 }
 
 // Connections that broke off although their runner runs on are no crash.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -8,7 +8,7 @@
 	Number int64
 }
 
-// Strike describes a request that a runner had not begun to answer when its connection broke off.
+// Strike describes a request whose connection broke off before the answer showed that its sections are sound.
 type Strike struct {
 	Incarnation Incarnation
 	// Sections lists the sections of the prompt in order, without the request's own.
@@ -16,14 +16,27 @@
 	SentAt   time.Time
 	// At is when the connection broke off.
 	At time.Time
+	// Begun is set if data of the answer had arrived before.
+	Begun bool
 }
 
-// Success describes a request that a runner has begun to answer, which shows that its sections are sound.
+// stage returns when the request's sections crash their runners, if one of them did so here.
+func (s Strike) stage() stage {
+	if s.Begun {
+		return afterData
+	}
+	return beforeData
+}
+
+// Success describes a request that a runner has begun to answer. That shows that its sections do not crash runners before they begin
+// to answer.
 type Success struct {
 	Sections []string
 	SentAt   time.Time
 	// At is when the first data of the answer arrived.
 	At time.Time
+	// Proven is set if the answer shows as well that its sections do not crash runners that have begun to answer.
+	Proven bool
 }
 
 // SoundAt returns until when the sections were certainly sound.
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -1,15 +1,23 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The reports carry ages in place of times, because the clocks of two VMs may differ.
 
 // Evidence is what a VM reports to the lease holder.
 type Evidence struct {
-	Strikes   []StrikeReport  `cbor:",omitempty"`
+	// Strikes lists those of requests whose answer had not begun, BegunStrikes the others.
+	Strikes      []StrikeReport `cbor:",omitempty"`
+	BegunStrikes []StrikeReport `cbor:",omitempty"`
+	// Successes lists those that are not proven, Proven the others.
 	Successes []SuccessReport `cbor:",omitempty"`
-	// Sound lists how long ago sections were last known to be sound.
-	Sound map[string]time.Duration `cbor:",omitempty"`
+	Proven    []SuccessReport `cbor:",omitempty"`
+	// Sound lists how long ago answers with sections last began, ProvenSound the same for answers that are proven.
+	Sound       map[string]time.Duration `cbor:",omitempty"`
+	ProvenSound map[string]time.Duration `cbor:",omitempty"`
 	// Running lists incarnations that sent data after a connection to them had broken off.
 	Running []RunningReport `cbor:",omitempty"`
 	// Requested lists sections in quarantine with which requests have arrived.
@@ -65,19 +73,36 @@
 	ReleasedAge time.Duration
 }
 
-// ReportStrike returns the report of a strike that is sent now.
-func ReportStrike(s Strike, now time.Time) StrikeReport {
-	return StrikeReport{
+// WithStrike returns the evidence with a strike, sent now.
+func (e Evidence) WithStrike(s Strike, now time.Time) Evidence {
+	report := StrikeReport{
 		Runner:      s.Incarnation.Runner,
 		Incarnation: s.Incarnation.Number,
 		Sections:    s.Sections,
 		SentAge:     now.Sub(s.SentAt),
 		Age:         now.Sub(s.At),
 	}
+	if s.Begun {
+		e.BegunStrikes = append(slices.Clip(e.BegunStrikes), report)
+	} else {
+		e.Strikes = append(slices.Clip(e.Strikes), report)
+	}
+	return e
+}
+
+// ReceivedStrikes returns the strikes of evidence that arrived now.
+func (e Evidence) ReceivedStrikes(now time.Time) []Strike {
+	var strikes []Strike
+	for _, report := range e.Strikes {
+		strikes = append(strikes, report.strike(now, false))
+	}
+	for _, report := range e.BegunStrikes {
+		strikes = append(strikes, report.strike(now, true))
+	}
+	return strikes
 }
 
-// Strike returns the strike of a report that arrived now.
-func (r StrikeReport) Strike(now time.Time) Strike {
+func (r StrikeReport) strike(now time.Time, begun bool) Strike {
 	return Strike{
 		Incarnation: Incarnation{
 			Runner: r.Runner,
@@ -86,24 +111,43 @@
 		Sections: r.Sections,
 		SentAt:   now.Add(-max(r.SentAge, 0)),
 		At:       now.Add(-max(r.Age, 0)),
+		Begun:    begun,
 	}
 }
 
-// ReportSuccess returns the report of a success that is sent now.
-func ReportSuccess(s Success, now time.Time) SuccessReport {
-	return SuccessReport{
+// WithSuccess returns the evidence with a success, sent now.
+func (e Evidence) WithSuccess(s Success, now time.Time) Evidence {
+	report := SuccessReport{
 		Sections: s.Sections,
 		SentAge:  now.Sub(s.SentAt),
 		Age:      now.Sub(s.At),
 	}
+	if s.Proven {
+		e.Proven = append(slices.Clip(e.Proven), report)
+	} else {
+		e.Successes = append(slices.Clip(e.Successes), report)
+	}
+	return e
+}
+
+// ReceivedSuccesses returns the successes of evidence that arrived now.
+func (e Evidence) ReceivedSuccesses(now time.Time) []Success {
+	var successes []Success
+	for _, report := range e.Successes {
+		successes = append(successes, report.success(now, false))
+	}
+	for _, report := range e.Proven {
+		successes = append(successes, report.success(now, true))
+	}
+	return successes
 }
 
-// Success returns the success of a report that arrived now.
-func (r SuccessReport) Success(now time.Time) Success {
+func (r SuccessReport) success(now time.Time, proven bool) Success {
 	return Success{
 		Sections: r.Sections,
 		SentAt:   now.Add(-max(r.SentAge, 0)),
 		At:       now.Add(-max(r.Age, 0)),
+		Proven:   proven,
 	}
 }
 
--- a/internal/quarantine/simulation_holder_test.go
+++ b/internal/quarantine/simulation_holder_test.go
@@ -10,13 +10,21 @@
 
 // brokeOff handles at the VM that a pending request broke off.
 func (s *simulation) brokeOff(r *simRequest) {
-	evidence := quarantine.Strike{
-		Incarnation: quarantine.Incarnation{Runner: r.runner.name, Number: r.incarnation},
-		Sections:    r.sections,
+	if r.progress.MayCrash(start.Add(s.now)) {
+		s.struck(r)
 	}
-	sentAgo := s.now - r.sentAt
+	if !r.retried && !anyOf(r.sections, r.vm.suspects) {
+		r.retried = true
+		s.send(r)
+	}
+}
+
+// struck reports a strike to the lease holder.
+func (s *simulation) struck(r *simRequest) {
+	evidence := r.progress.Strike(quarantine.Incarnation{Runner: r.runner.name, Number: r.incarnation}, r.sections, start.Add(s.now))
 	s.after(r.vm.delay, func() {
-		evidence.SentAt, evidence.At = start.Add(s.now-sentAgo), start.Add(s.now)
+		// Evidence carries ages, to which the time on the link is not added.
+		evidence.SentAt, evidence.At = evidence.SentAt.Add(r.vm.delay), start.Add(s.now)
 		s.released(s.detector.Record(evidence))
 		convicted, released := s.detector.Judge(evidence.At)
 		for _, section := range convicted {
@@ -29,32 +37,31 @@
 		}
 		s.released(released)
 	})
-	if !r.retried && !anyOf(r.sections, r.vm.suspects) {
-		r.retried = true
-		s.send(r)
-	}
 }
 
-// succeeded handles at the VM that an answer began.
+// succeeded reports an answer that shows its sections to be sound to the lease holder, if that matters.
 func (s *simulation) succeeded(r *simRequest) {
+	proven := r.progress.Sound()
+	if r.reported[proven] {
+		return
+	}
+	r.reported[proven] = true
 	report := false
 	for _, section := range r.sections {
-		reportedAt, reported := r.vm.reported[section]
+		key := fmt.Sprint(section, proven)
+		reportedAt, reported := r.vm.reported[key]
 		if (r.vm.watched[section] || r.vm.quarantined[section]) && (!reported || s.now-reportedAt >= 200*time.Millisecond) {
-			r.vm.reported[section] = s.now
+			r.vm.reported[key] = s.now
 			report = true
 		}
 	}
 	if !report {
 		return
 	}
-	sentAgo := s.now - r.sentAt
+	success := r.progress.Success(r.sections)
 	s.after(r.vm.delay, func() {
-		s.released(s.detector.Success(quarantine.Success{
-			Sections: r.sections,
-			SentAt:   start.Add(s.now - sentAgo),
-			At:       start.Add(s.now),
-		}))
+		success.SentAt, success.At = success.SentAt.Add(r.vm.delay), success.At.Add(r.vm.delay)
+		s.released(s.detector.Success(success))
 	})
 }
 
--- a/internal/quarantine/simulation_seeds_test.go
+++ b/internal/quarantine/simulation_seeds_test.go
@@ -99,6 +99,29 @@
 	}
 }
 
+// A section that crashes runners only after the first data of its answers is found as well.
+func TestSectionThatCrashesAfterFirstDataIsFound(t *testing.T) {
+	for _, s := range systems() {
+		for _, p := range []placement{first, middle, replaces} {
+			for _, lost := range []float64{0, 0.5} {
+				for _, delay := range []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+					s := s
+					s.placement, s.share, s.deadlyFrom, s.crashAfter, s.dataLost = p, 0.05, 2*time.Second, delay, lost
+					t.Run(fmt.Sprintf("%d runners, %s, %v, %v", s.runners, p, delay, lost), func(t *testing.T) {
+						t.Parallel()
+						sum := runSeeds(s)
+						t.Log(sum)
+						require.LessOrEqual(t, sum.after, toleratedAfter)
+						require.LessOrEqual(t, sum.wronged, *seeds/100)
+						require.Zero(t, sum.stillWronged)
+						require.Zero(t, sum.unconvicted)
+					})
+				}
+			}
+		}
+	}
+}
+
 // disturbed returns a scenario with each kind of further faults.
 func disturbed(s scenario) map[string]scenario {
 	mass, resets, breakOffs, all := s, s, s, s
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -42,6 +42,10 @@
 	massCrashes time.Duration
 	vmResets    time.Duration
 	breakOffs   float64
+	// crashAfter is how long after the first data of its answer a request with the deadly section ends its runner, 0 if before any;
+	// dataLost is the share of these requests whose data is lost, because the end of the runner resets their connection.
+	crashAfter time.Duration
+	dataLost   float64
 }
 
 // outcome is what a run led to.
@@ -58,7 +62,13 @@
 	sent         int
 }
 
-// simRunner is a runner; pending holds the requests that it has not begun to answer.
+const (
+	// answerTime is the mean time that a runner takes to send an answer, eventPause the time between two parts of one.
+	answerTime = 1200 * time.Millisecond
+	eventPause = 100 * time.Millisecond
+)
+
+// simRunner is a runner; pending holds the requests that it has not answered whole.
 type simRunner struct {
 	name        string
 	incarnation int64
@@ -73,9 +83,13 @@
 	hasDeadly   bool
 	runner      *simRunner
 	incarnation int64
-	sentAt      time.Duration
-	retried     bool
-	done        bool
+	// progress is what the VM knows of the answer; reported says which successes it was reported as, those that are proven or not.
+	progress quarantine.Progress
+	reported map[bool]bool
+	// delay is the time that data takes between the VM and the runner.
+	delay   time.Duration
+	sentAt  time.Duration
+	retried bool
 }
 
 // simVM is an entry VM with the holder's last broadcast.
@@ -187,7 +201,9 @@
 		return
 	}
 	r.runner = usable[s.random.IntN(len(usable))]
-	r.incarnation, r.sentAt, r.done = r.runner.incarnation, s.now, false
+	r.incarnation, r.sentAt = r.runner.incarnation, s.now
+	r.delay = delay
+	r.progress, r.reported = quarantine.NewProgress(start.Add(s.now)), make(map[bool]bool)
 	s.outcome.sent++
 	if r.runner.down {
 		s.after(2*delay, func() { s.brokeOff(r) })
@@ -225,23 +241,52 @@
 	if r.runner.incarnation != r.incarnation || !slices.Contains(r.runner.pending, r) {
 		return
 	}
+	sentAt := r.sentAt
+	if !r.hasDeadly || (s.crashAfter > 0 && s.random.Float64() >= s.dataLost) {
+		s.after(delay, func() { s.received(r, sentAt) })
+	}
 	if r.hasDeadly {
-		s.outcome.crashes++
-		if s.outcome.crashes == 5 {
-			s.outcome.fifthCrash = s.now
-		}
-		s.crash(r.runner)
+		s.after(s.crashAfter, func() { s.crashBy(r) })
 		return
 	}
-	r.runner.remove(r)
 	s.outcome.served++
-	s.after(delay, func() { s.succeeded(r) })
+	s.after(s.exp(answerTime), func() {
+		if r.sentAt == sentAt && r.runner.remove(r) {
+			s.after(delay, func() {
+				r.progress = r.progress.WithEnd(start.Add(s.now))
+				s.succeeded(r)
+			})
+		}
+	})
+}
+
+// received handles at the VM that data of an answer has arrived, as it goes on doing while the answer is sent.
+func (s *simulation) received(r *simRequest, sentAt time.Duration) {
+	r.progress = r.progress.WithData(start.Add(s.now))
+	s.succeeded(r)
+	s.after(eventPause, func() {
+		if r.sentAt == sentAt && slices.Contains(r.runner.pending, r) {
+			s.received(r, sentAt)
+		}
+	})
+}
+
+// crashBy ends the runner of a request with the deadly section.
+func (s *simulation) crashBy(r *simRequest) {
+	if r.runner.incarnation != r.incarnation || !slices.Contains(r.runner.pending, r) {
+		return
+	}
+	s.outcome.crashes++
+	if s.outcome.crashes == 5 {
+		s.outcome.fifthCrash = s.now
+	}
+	s.crash(r.runner)
 }
 
 func (s *simulation) crash(runner *simRunner) {
 	runner.down, runner.crashedAt = true, s.now
 	for _, r := range runner.pending {
-		s.after(time.Duration(s.random.Int64N(int64(65*time.Millisecond))), func() { s.brokeOff(r) })
+		s.after(r.delay, func() { s.brokeOff(r) })
 	}
 	runner.pending = nil
 	s.after(2*time.Second+time.Duration(s.random.Int64N(int64(3*time.Second))), func() {
--- a/internal/quarantine/suspicion.go
+++ b/internal/quarantine/suspicion.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// suspicion is what is held against one section.
+// suspicion is what is held against one suspect.
 type suspicion struct {
 	// strikes has at most one strike for each incarnation, the earliest first.
 	strikes []strike
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -21,29 +21,30 @@
 // then no longer count for other sections. It also returns the sections whose conviction is refuted by that.
 func (d *Detector) Judge(now time.Time) (convicted, released []string) {
 	for {
-		section, ok := d.mostLikely(now)
+		s, ok := d.mostLikely(now)
 		if !ok {
 			return convicted, released
 		}
-		released = append(released, d.releaseExplained(section)...)
-		d.sentence(section, conviction{
+		released = append(released, d.releaseExplained(s.section)...)
+		d.sentence(s.section, conviction{
 			at:      now,
-			strikes: d.threshold(section),
+			stage:   s.stage,
+			strikes: d.threshold(s.section),
 		})
-		convicted = append(convicted, section)
+		convicted = append(convicted, s.section)
 	}
 }
 
 // releaseExplained releases the convicted sections whose crashes are explained by a section that is convicted now.
 func (d *Detector) releaseExplained(by string) (released []string) {
 	for section, c := range d.convicted {
-		suspected := d.sections[section]
+		suspected := d.suspicions[suspect{section, c.stage}]
 		if c.strikes == 0 || suspected == nil {
 			continue
 		}
 		unexplained := 0
 		for _, known := range suspected.strikes {
-			if crashed := d.crashes[known.incarnation]; crashed == nil || !crashed.sections[by] {
+			if crashed := d.crashes[known.incarnation]; crashed == nil || !crashed.has(by) {
 				unexplained++
 			}
 		}
@@ -57,34 +58,35 @@
 	return released
 }
 
-// mostLikely returns the section to convict next, if there is one.
-func (d *Detector) mostLikely(now time.Time) (string, bool) {
-	best, found := "", false
-	for section, suspected := range d.sections {
-		if d.Convicted(section) {
+// mostLikely returns the suspect to convict next, if there is one.
+func (d *Detector) mostLikely(now time.Time) (suspect, bool) {
+	var best suspect
+	found := false
+	for s, suspected := range d.suspicions {
+		if d.Convicted(s.section) {
 			continue
 		}
 		suspected.expire(now)
-		if (suspected.count() >= d.threshold(section) || d.overwhelming(section, now)) && (!found || d.likelier(section, best)) {
-			best, found = section, true
+		if (suspected.count() >= d.threshold(s.section) || d.overwhelming(s, now)) && (!found || d.likelier(s, best)) {
+			best, found = s, true
 		}
 	}
-	if !found || d.onParole(best) || d.overwhelming(best, now) {
+	if !found || d.onParole(best.section) || d.overwhelming(best, now) {
 		return best, found
 	}
 	return best, !d.hasRival(best)
 }
 
-// overwhelming reports whether the evidence against a section suffices although another one may be as likely: enough consecutive
-// strikes, or a suspect that was pending at as many crashes and that no answer has cleared for a while. While most runners are
+// overwhelming reports whether the evidence against a suspect suffices although another one may be as likely: enough consecutive
+// strikes, or two of them if it was pending at as many crashes and no answer has cleared it for a while. While most runners are
 // down, no answer can clear either of the two.
-func (d *Detector) overwhelming(section string, now time.Time) bool {
-	suspected := d.sections[section]
+func (d *Detector) overwhelming(s suspect, now time.Time) bool {
+	suspected := d.suspicions[s]
 	count := suspected.count()
 	if count >= decideStrikes {
 		return true
 	}
-	return count >= suspectStrikes && d.crashCount(section) >= decideStrikes &&
+	return count >= suspectStrikes && d.crashCount(s) >= decideStrikes &&
 		now.Sub(suspected.strikes[len(suspected.strikes)-1].at) >= decideDelay
 }
 
@@ -103,9 +105,9 @@
 
 // likelier reports whether a rather than b crashes runners: a former convict, the section pending at more crashes, or with
 // more consecutive strikes, or else the one that is later in the prompt, as fewer sound requests share it.
-func (d *Detector) likelier(a, b string) bool {
-	x, y := d.sections[a], d.sections[b]
-	if paroled := d.onParole(a); paroled != d.onParole(b) {
+func (d *Detector) likelier(a, b suspect) bool {
+	x, y := d.suspicions[a], d.suspicions[b]
+	if paroled := d.onParole(a.section); paroled != d.onParole(b.section) {
 		return paroled
 	}
 	if m, n := d.crashCount(a), d.crashCount(b); m != n {
@@ -117,52 +119,55 @@
 	if x.depth != y.depth {
 		return x.depth > y.depth
 	}
-	return a < b
+	if a.section != b.section {
+		return a.section < b.section
+	}
+	return a.stage < b.stage
 }
 
-// hasRival reports whether another suspect was pending at most of a section's crashes and at almost as many in all. An answer
+// hasRival reports whether another section was pending at most of a suspect's crashes and at almost as many in all. An answer
 // that clears one of the two may still be on its way.
-func (d *Detector) hasRival(section string) bool {
-	crashes := d.crashCount(section)
-	for other, rival := range d.sections {
-		if other == section || d.Convicted(other) || rival.count() < suspectStrikes || d.crashCount(other)+clearLead <= crashes {
+func (d *Detector) hasRival(s suspect) bool {
+	crashes, strikes := d.crashCount(s), d.suspicions[s].strikes
+	for other, rival := range d.suspicions {
+		if other.section == s.section || d.Convicted(other.section) || rival.count() < suspectStrikes || d.crashCount(other)+clearLead <= crashes {
 			continue
 		}
 		shared := 0
-		for _, known := range d.sections[section].strikes {
+		for _, known := range strikes {
 			if d.pendingAt(other, known.incarnation) {
 				shared++
 			}
 		}
-		if 2*shared > len(d.sections[section].strikes) {
+		if 2*shared > len(strikes) {
 			return true
 		}
 	}
 	return false
 }
 
-// crashCount returns the number of crashes at which a section was pending, without those before it was known to be sound.
-func (d *Detector) crashCount(section string) int {
+// crashCount returns the number of crashes at which a suspect was pending, without those before it was known to be sound.
+func (d *Detector) crashCount(s suspect) int {
 	count := 0
 	for incarnation := range d.crashes {
-		if d.pendingAt(section, incarnation) {
+		if d.pendingAt(s, incarnation) {
 			count++
 		}
 	}
 	return count
 }
 
-// pendingAt reports whether a section may have caused the crash of an incarnation.
-func (d *Detector) pendingAt(section string, incarnation Incarnation) bool {
+// pendingAt reports whether a suspect may have caused the crash of an incarnation.
+func (d *Detector) pendingAt(s suspect, incarnation Incarnation) bool {
 	c := d.crashes[incarnation]
-	return c != nil && !c.explained && !c.alive() && c.sections[section] && c.at.After(d.sections[section].soundAt)
+	return c != nil && !c.explained && !c.alive() && c.suspects[s] && c.at.After(d.suspicions[s].soundAt)
 }
 
 func (d *Detector) sentence(section string, c conviction) {
 	d.convicted[section] = c
 	delete(d.paroled, section)
 	for incarnation, crashed := range d.crashes {
-		if crashed.sections[section] {
+		if crashed.has(section) {
 			crashed.explained = true
 			d.dropStrikes(incarnation, crashed)
 		}
@@ -171,8 +176,8 @@
 
 // dropStrikes drops the strikes at an incarnation of all sections that are not convicted.
 func (d *Detector) dropStrikes(incarnation Incarnation, c *crash) {
-	for section := range c.sections {
-		if suspected := d.sections[section]; suspected != nil && !d.Convicted(section) {
+	for s := range c.suspects {
+		if suspected := d.suspicions[s]; suspected != nil && !d.Convicted(s.section) {
 			suspected.drop(incarnation)
 		}
 	}
