promptguard, dispatch: find sections whose crashes look like whole answers

Callers saw: where a runner's answer has neither a length nor chunks, its crash ends the connection as a complete answer does. A stream that ended after its head came to callers as an empty 200, one that ended between two events as complete, and neither counted against the prompt.

Cause: such an end was always taken for the end of the answer.

Change: a stream without any event has been broken off, as each has at least one.

--- a/internal/dispatch/guard.go
+++ b/internal/dispatch/guard.go
@@ -19,6 +19,10 @@
 	RecordStrike(runner *roster.Runner, sections []PromptSection, p quarantine.Progress, at time.Time)
 	// RecordAnswer records that a successful answer has begun, and later that it shows the prompt to be sound.
 	RecordAnswer(sections []PromptSection, p quarantine.Progress)
+	// RecordUnmarkedEnd records that a successful answer ended with its connection, as it would if the runner had crashed.
+	RecordUnmarkedEnd(runner *roster.Runner, sections []PromptSection, p quarantine.Progress, at time.Time)
+	// RecordUnreachable records that no process listens at the address of a runner any more.
+	RecordUnreachable(runner *roster.Runner)
 }
 
 // noGuard is a SectionGuard that lets every prompt pass.
@@ -35,3 +39,9 @@
 
 // RecordAnswer implements SectionGuard.
 func (noGuard) RecordAnswer([]PromptSection, quarantine.Progress) {}
+
+// RecordUnmarkedEnd implements SectionGuard.
+func (noGuard) RecordUnmarkedEnd(*roster.Runner, []PromptSection, quarantine.Progress, time.Time) {}
+
+// RecordUnreachable implements SectionGuard.
+func (noGuard) RecordUnreachable(*roster.Runner) {}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -78,6 +78,9 @@
 	case !a.complete(u.err):
 		a.response.Close()
 		return c.handleBreak(a, u.err)
+	case !a.answered && a.response.EndUnmarked:
+		// A stream has at least one event.
+		return c.handleBreak(a, io.ErrUnexpectedEOF)
 	case !a.begun && (c.responseStarted || a == c.standby):
 		// Nothing shows that the stream was complete before.
 		return c.handleBreak(a, &ResumeError{
--- a/internal/dispatch/sections.go
+++ b/internal/dispatch/sections.go
@@ -59,6 +59,11 @@
 func (c *call) recordEnd(a *attempt) {
 	if !a.response.EndUnmarked {
 		c.recordProgress(a, a.progress.WithEnd(a.lastUpdate))
+		return
+	}
+	c.recordProgress(a, a.progress.WithData(a.lastUpdate))
+	if c.service.Engine != nil && a.response.successful() {
+		c.d.Guard.RecordUnmarkedEnd(a.pick.runner, c.request.PromptSections, a.progress, a.lastUpdate)
 	}
 }
 
--- a/internal/dispatch/sections_test.go
+++ b/internal/dispatch/sections_test.go
@@ -29,6 +29,9 @@
 	// begun and sound count the answers that began, and those that showed their prompt to be sound.
 	begun int
 	sound int
+	// ended counts the answers whose end nothing marks, unreachable lists runners at which no process listens.
+	ended       int
+	unreachable []string
 }
 
 func has(sections []dispatch.PromptSection, id string) bool {
@@ -65,6 +68,18 @@
 	}
 }
 
+func (g *fakeGuard) RecordUnmarkedEnd(_ *roster.Runner, _ []dispatch.PromptSection, _ quarantine.Progress, _ time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended++
+}
+
+func (g *fakeGuard) RecordUnreachable(runner *roster.Runner) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unreachable = append(g.unreachable, runner.ID)
+}
+
 func newGuardedHarness(t *testing.T, replies ...reply) (*harness, *fakeGuard) {
 	t.Helper()
 	h := newHarness(t, replies...)
@@ -179,6 +194,35 @@
 	}
 }
 
+// A stream whose connection ends after its head must not look like an empty one, where nothing else marks its end.
+func TestUnframedStreamWithoutEventsIsBrokenOff(t *testing.T) {
+	h, guard := newGuardedHarness(t, unframed(stream(io.EOF)))
+	h.dispatcher.Serve(t.Context(), h.requestWithSections("/once/"), h.caller)
+	require.Equal(t, http.StatusBadGateway, h.caller.refused.Status)
+	require.Len(t, guard.strikes, 1)
+}
+
+// A section that crashes runners after the first event of an answer must not crash a second one where the stream would be resumed.
+func TestSuspectedStreamIsNotResumedAfterItsFirstEvent(t *testing.T) {
+	h, guard := newGuardedHarness(t, stream(io.ErrUnexpectedEOF, firstEvent), stream(nil, secondEvent))
+	guard.suspected = "deadly"
+	h.dispatcher.Serve(t.Context(), h.requestWithSections("/stream/"), h.caller)
+	require.Equal(t, 1, h.sender.count())
+	require.True(t, h.caller.aborted)
+}
+
+// What a runner that no process serves any more had sent without a marked end is not known to be whole.
+func TestUnreachableRunnerIsRecorded(t *testing.T) {
+	h, guard := newGuardedHarness(t, unframed(stream(nil, firstEvent)), func(context.Context, *dispatch.Request, dispatch.Attempt) (*dispatch.Response, error) {
+		return nil, &endpoint.NotSentError{Cause: syscall.ECONNREFUSED}
+	}, stream(nil, firstEvent))
+	h.dispatcher.Serve(t.Context(), h.requestWithSections("/once/"), h.caller)
+	require.Equal(t, 1, guard.ended)
+	require.Empty(t, guard.unreachable)
+	h.dispatcher.Serve(t.Context(), h.requestWithSections("/once/"), h.caller)
+	require.Equal(t, h.sender.runners[1:2], guard.unreachable)
+}
+
 // Only a connection that its runner ended before the answer went on for a while counts against the prompt, and only an answer that did
 // so, or is whole, shows it to be sound.
 func TestEvidenceAgainstPrompt(t *testing.T) {
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
@@ -91,6 +92,9 @@
 	c.d.Tracker.recordResult(a.pick.runner, false, a.lastUpdate)
 	var notSent *endpoint.NotSentError
 	if errors.As(err, &notSent) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.d.Guard.RecordUnreachable(a.pick.runner)
+		}
 		c.attempts--
 		c.end(a)
 		return false, nil
--- a/internal/promptguard/guard.go
+++ b/internal/promptguard/guard.go
@@ -98,6 +98,8 @@
 	savedKnown bool
 	// followed lists this VM's strikes at incarnations that may turn out to run on, the oldest first.
 	followed []quarantine.Strike
+	// ends lists answers of this VM of which it is not known yet whether they are whole, the oldest first.
+	ends []unmarkedEnd
 	// pulses follow the heartbeats of incarnations with strikes.
 	pulses map[quarantine.Incarnation]*pulse
 }
@@ -156,21 +158,19 @@
 
 // RecordStrike implements dispatch.SectionGuard.
 func (g *Guard) RecordStrike(runner *roster.Runner, sections []dispatch.PromptSection, p quarantine.Progress, at time.Time) {
-	if !p.MayCrash(at) {
-		return
-	}
-	incarnation := quarantine.Incarnation{
-		Runner: runner.ID,
-		Number: runner.Incarnation,
-	}
-	strike := p.Strike(incarnation, trackedIDs(sections), at)
-	if len(strike.Sections) == 0 {
-		return
-	}
-	g.Metrics.strikes.Inc()
+	strike := p.Strike(incarnationOf(runner), trackedIDs(sections), at)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
+	g.strikeEnds(strike.Incarnation, now)
+	if p.MayCrash(at) && len(strike.Sections) > 0 {
+		g.addStrike(strike, now)
+	}
+}
+
+// addStrike handles a strike of this VM.
+func (g *Guard) addStrike(strike quarantine.Strike, now time.Time) {
+	g.Metrics.strikes.Inc()
 	g.recent = append(g.recent, strike)
 	if len(g.recent) > maxRecentStrikes {
 		g.recent = slices.Delete(g.recent, 0, 1)
@@ -185,21 +185,43 @@
 	signal(g.wake)
 }
 
+// incarnationOf returns the incarnation of a registered runner.
+func incarnationOf(runner *roster.Runner) quarantine.Incarnation {
+	return quarantine.Incarnation{
+		Runner: runner.ID,
+		Number: runner.Incarnation,
+	}
+}
+
 // RecordAnswer implements dispatch.SectionGuard.
 func (g *Guard) RecordAnswer(sections []dispatch.PromptSection, p quarantine.Progress) {
 	success := p.Success(trackedIDs(sections))
-	g.begun.record(success.Sections, success.SoundAt())
-	if success.Proven {
-		g.proven.record(success.Sections, success.SoundAt())
-	}
-	v := g.view.Load()
-	if !slices.ContainsFunc(success.Sections, v.matters) {
+	g.remember(success)
+	if !slices.ContainsFunc(success.Sections, g.view.Load().matters) {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.Clock.Now()
-	if !g.reportDue(success, v, now) {
+	g.reportSuccess(success, g.Clock.Now())
+}
+
+// addSuccess handles a success of this VM.
+func (g *Guard) addSuccess(success quarantine.Success, now time.Time) {
+	g.remember(success)
+	g.reportSuccess(success, now)
+}
+
+// remember notes until when the sections of a success were known to be sound.
+func (g *Guard) remember(success quarantine.Success) {
+	g.begun.record(success.Sections, success.SoundAt())
+	if success.Proven {
+		g.proven.record(success.Sections, success.SoundAt())
+	}
+}
+
+// reportSuccess handles a success if it matters and has not been reported for a while.
+func (g *Guard) reportSuccess(success quarantine.Success, now time.Time) {
+	if !g.reportDue(success, g.view.Load(), now) {
 		return
 	}
 	g.updateRole(now)
--- a/internal/promptguard/living.go
+++ b/internal/promptguard/living.go
@@ -57,9 +57,9 @@
 	g.updateRole(now)
 	var running []quarantine.RunningReport
 	g.followed = slices.DeleteFunc(g.followed, func(s quarantine.Strike) bool {
-		received := g.LastReceived(s.Incarnation.Runner)
-		runs := received.After(s.At.Add(dataLag)) && received.Before(s.At.Add(minRestart))
+		runs := g.sentDataAfter(s)
 		if runs {
+			received := g.LastReceived(s.Incarnation.Runner)
 			g.release(g.detector.Alive(s.Incarnation, received), reasonAlive, now)
 			running = append(running, quarantine.ReportRunning(s.Incarnation, received, now))
 		}
@@ -72,7 +72,14 @@
 		g.report(quarantine.Evidence{Running: running})
 		signal(g.wake)
 	}
-	return len(g.followed) > 0
+	endsLeft := g.followEnds(now)
+	return endsLeft || len(g.followed) > 0
+}
+
+// sentDataAfter reports whether the incarnation of a strike went on sending data to this VM.
+func (g *Guard) sentDataAfter(s quarantine.Strike) bool {
+	received := g.LastReceived(s.Incarnation.Runner)
+	return received.After(s.At.Add(dataLag)) && received.Before(s.At.Add(minRestart))
 }
 
 // findLiving finds incarnations that go on registering after a connection to them broke off.
