dispatch: don't pass on a runner's failure as a promise that the request did not run

Callers saw: an order that a runner had run and then failed with 503, without the statement that it had not run it, came back as 503.

Cause: every error status without the runner's statement was passed on. To a VM, a bare 503 says nothing about the run; to a caller, 429, 503, 408 and 421 each promise that there was none and never will be.

Change: a response with one of these four statuses and without the statement is treated as a failure. Requests that may run again go on at another runner; callers of the others get 502 without a signature, which promises nothing.

--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -154,27 +154,36 @@
 func (e *StatusError) Error() string { return "runner responded with " + http.StatusText(e.Status) }
 
 // handleErrorStatus handles a response with an error status that does not state that the request was not executed. The caller gets
-// it unless another attempt may still succeed, or a part of a stream was already passed on.
+// it unless another attempt may still succeed, a part of a stream was already passed on, or its status alone would state that to the
+// caller.
 func (c *call) handleErrorStatus(a *attempt) (bool, *refusal.Refusal) {
-	serverError := a.response.Status >= http.StatusInternalServerError
-	c.d.Tracker.recordServerError(a.pick.runner, serverError, a.lastUpdate)
-	if !c.responseStarted && a == c.current && !c.replaceable(serverError) {
-		return false, nil
+	misleading := refusal.StatesNotRun(a.response.Status)
+	failed := misleading || a.response.Status >= http.StatusInternalServerError
+	c.d.Tracker.recordServerError(a.pick.runner, failed, a.lastUpdate)
+	replaced := false
+	if !c.responseStarted && a == c.current {
+		replaced = c.replaceable(failed)
+		if !replaced && !misleading {
+			return false, nil
+		}
 	}
 	c.recordSendFailure(a.pick, &StatusError{Status: a.response.Status})
 	a.drain(c.d.Clock)
-	retry := a == c.current && c.standby == nil
 	c.end(a)
-	if c.inProgress() || (retry && !c.responseStarted) || (serverError && c.route.Idempotent() && c.takeRetry()) {
+	if replaced || c.inProgress() || (c.responseStarted && failed && c.route.Idempotent() && c.takeRetry()) {
 		return false, nil
 	}
-	return true, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "the stream could not be resumed").WithRan(refusal.Unknown)
+	message := "the stream could not be resumed"
+	if !c.responseStarted {
+		message = "the runner failed the request, which may have run"
+	}
+	return true, refusal.New(http.StatusBadGateway, refusal.AnswerBroken, message).WithRan(refusal.Unknown)
 }
 
-// replaceable reports whether a request whose current runner responded with an error goes on with another one. The retry is taken
-// before the response is given up.
-func (c *call) replaceable(serverError bool) bool {
-	return serverError && (c.standby != nil || (c.route.Idempotent() && c.hasAlternative() && c.takeRetry()))
+// replaceable reports whether a request whose current runner failed it goes on with another one. The retry is taken before the
+// response is given up.
+func (c *call) replaceable(failed bool) bool {
+	return failed && (c.standby != nil || (c.route.Idempotent() && c.hasAlternative() && c.takeRetry()))
 }
 
 // recordAnswered records how long a runner took for a response that was received to its end.
