promptguard, quarantine: track each section of a prompt, whatever its place and ID

Callers saw: a section that crashes runners was never kept from them if 32 others came before it in the prompt. The same with IDs over 128 bytes, IDs that are not UTF-8, and pairs whose number can't be decoded, which were skipped.

Cause: the cost of evidence was bounded by taking the first 32 sections with IDs of a certain kind, and never any other.

Evidence: with 20 sections before the same section is found; in a test of all four kinds, only what was tracked is.

Change: a strike still names 32 sections at most. Of a longer prompt, it names those that are suspected, then those that were in other prompts which broke off here, then those that no answer has shown to be sound, by chance among equals. Bit sets of fixed size remember both, so that neither a strike, an answer nor a message grows with the prompt; successes name only what is watched. Odd IDs are known by a 64-bit hash. What only one answer or one crash had gives way first, so that a caller with sections of its own displaces no other evidence.

--- a/internal/promptguard/ends.go
+++ b/internal/promptguard/ends.go
@@ -27,15 +27,16 @@
 	if !p.MayCrash(at) {
 		return
 	}
-	ids := trackedIDs(sections)
-	if len(ids) == 0 {
+	keys := sectionKeys(shared(sections))
+	if len(keys) == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	named := retained(g.mostTelling(keys))
 	g.ends = append(g.ends, unmarkedEnd{
-		strike:  p.Strike(incarnationOf(runner), ids, at),
-		success: p.WithEnd(at).Success(ids),
+		strike:  p.Strike(incarnationOf(runner), named, at),
+		success: p.WithEnd(at).Success(named),
 	})
 	if len(g.ends) > maxEnds {
 		g.ends = slices.Delete(g.ends, 0, 1)
--- a/internal/promptguard/guard.go
+++ b/internal/promptguard/guard.go
@@ -7,7 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-	"unicode/utf8"
 
 	"github.com/jonboulle/clockwork"
 
@@ -17,11 +16,10 @@
 )
 
 const (
-	// maxPromptSections and maxSectionBytes limit which sections of a prompt are tracked.
-	maxPromptSections = 32
-	maxSectionBytes   = 128
 	// reportInterval is the pause between two reports of a section's successes.
 	reportInterval = 200 * time.Millisecond
+	// struckTerm is for how long, at least, the sections of a prompt that broke off are remembered.
+	struckTerm = 10 * time.Minute
 	// maxRecentStrikes and recentTTL bound the strikes that are sent again over a new link.
 	maxRecentStrikes = 64
 	recentTTL        = 30 * time.Second
@@ -57,8 +55,11 @@
 	Dependencies
 	view atomic.Pointer[view]
 	// begun remembers sections whose answers began, proven those of answers that showed them to be sound.
-	begun  sounds
-	proven sounds
+	begun  *sounds
+	proven *sounds
+	// answered has the sections of all answers that showed them to be sound, struck those of prompts that broke off.
+	answered *recentSet
+	struck   *recentSet
 	// wake requests a broadcast, saveWake a round of saving, followWake rounds of following incarnations.
 	wake       chan struct{}
 	saveWake   chan struct{}
@@ -108,6 +109,10 @@
 func New(d Dependencies) *Guard {
 	g := &Guard{
 		Dependencies: d,
+		begun:        newSounds(),
+		proven:       newSounds(),
+		answered:     newRecentSet(soundTTL),
+		struck:       newRecentSet(struckTerm),
 		wake:         make(chan struct{}, 1),
 		saveWake:     make(chan struct{}, 1),
 		followWake:   make(chan struct{}, 1),
@@ -124,7 +129,6 @@
 		saved:        make(map[string]quarantine.Entry),
 		pulses:       make(map[quarantine.Incarnation]*pulse),
 	}
-	g.begun.at, g.proven.at = make(map[string]time.Time), make(map[string]time.Time)
 	g.view.Store(&view{})
 	return g
 }
@@ -141,7 +145,7 @@
 		return "", false
 	}
 	for _, section := range shared(sections) {
-		if entry := v.quarantined[section.ID]; entry != nil {
+		if entry := v.quarantined[sectionKey(section.ID)]; entry != nil {
 			entry.requestedAt.Store(g.Clock.Now().UnixMilli())
 			g.Metrics.refused.Inc()
 			return section.ID, true
@@ -153,18 +157,21 @@
 // Suspected implements dispatch.SectionGuard.
 func (g *Guard) Suspected(sections []dispatch.PromptSection) bool {
 	v := g.view.Load()
-	return len(v.suspects) > 0 && slices.ContainsFunc(shared(sections), func(s dispatch.PromptSection) bool { return v.suspects[s.ID] })
+	return len(v.suspects) > 0 &&
+		slices.ContainsFunc(shared(sections), func(s dispatch.PromptSection) bool { return v.suspects[sectionKey(s.ID)] })
 }
 
 // RecordStrike implements dispatch.SectionGuard.
 func (g *Guard) RecordStrike(runner *roster.Runner, sections []dispatch.PromptSection, p quarantine.Progress, at time.Time) {
-	strike := p.Strike(incarnationOf(runner), trackedIDs(sections), at)
+	keys := sectionKeys(shared(sections))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
-	g.strikeEnds(strike.Incarnation, now)
-	if p.MayCrash(at) && len(strike.Sections) > 0 {
-		g.addStrike(strike, now)
+	incarnation := incarnationOf(runner)
+	g.strikeEnds(incarnation, now)
+	if p.MayCrash(at) && len(keys) > 0 {
+		g.addStrike(p.Strike(incarnation, retained(g.mostTelling(keys)), at), now)
+		g.struck.add(keys, now)
 	}
 }
 
@@ -195,14 +202,18 @@
 
 // RecordAnswer implements dispatch.SectionGuard.
 func (g *Guard) RecordAnswer(sections []dispatch.PromptSection, p quarantine.Progress) {
-	success := p.Success(trackedIDs(sections))
-	g.remember(success)
-	if !slices.ContainsFunc(success.Sections, g.view.Load().matters) {
+	sections = shared(sections)
+	if p.Sound() {
+		g.answered.add(sectionKeys(sections), g.Clock.Now())
+	}
+	g.remember(p.Success(sectionKeys(sample(sections, maxRemembered))))
+	matter := g.view.Load().ofMatter(sections)
+	if len(matter) == 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.reportSuccess(success, g.Clock.Now())
+	g.reportSuccess(p.Success(retained(matter)), g.Clock.Now())
 }
 
 // addSuccess handles a success of this VM.
@@ -260,25 +271,3 @@
 	}
 	return due
 }
-
-// shared returns the sections of a prompt that other requests may share: all but the last.
-func shared(sections []dispatch.PromptSection) []dispatch.PromptSection {
-	return sections[:max(len(sections)-1, 0)]
-}
-
-// trackedIDs returns the IDs of the shared sections that are tracked.
-func trackedIDs(sections []dispatch.PromptSection) []string {
-	sections = shared(sections)
-	ids := make([]string, 0, min(len(sections), maxPromptSections))
-	for _, section := range sections {
-		if len(ids) < maxPromptSections && trackable(section.ID) {
-			ids = append(ids, section.ID)
-		}
-	}
-	return ids
-}
-
-// trackable reports whether a section can be tracked: peers don't accept text that is not UTF-8.
-func trackable(id string) bool {
-	return id != "" && len(id) <= maxSectionBytes && utf8.ValidString(id)
-}
--- /dev/null
+++ b/internal/promptguard/sections.go
@@ -0,0 +1,126 @@
+package promptguard
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
+)
+
+const (
+	// maxNamed is how many sections of a prompt a strike names, maxRemembered how many of an answer are remembered as sound.
+	maxNamed      = 32
+	maxRemembered = 256
+	// maxPlainKey is the size of the longest section ID that is its own key.
+	maxPlainKey = 128
+	// hashPrefix begins the keys of other IDs.
+	hashPrefix = "#"
+)
+
+// shared returns the sections of a prompt that other requests may share: all but the last.
+func shared(sections []dispatch.PromptSection) []dispatch.PromptSection {
+	return sections[:max(len(sections)-1, 0)]
+}
+
+// sectionKey returns the key under which a section is known to all VMs and in the store. It is the ID, so that operators can read it,
+// or a hash where the ID is too long or not such text as peers accept.
+func sectionKey(id string) string {
+	if len(id) <= maxPlainKey && utf8.ValidString(id) && !strings.HasPrefix(id, hashPrefix) {
+		return id
+	}
+	return fmt.Sprintf("%s%016x", hashPrefix, xxhash.Sum64String(id))
+}
+
+// validKey reports whether a peer or the store may have sent a key.
+func validKey(key string) bool { return key != "" && len(key) <= maxPlainKey && utf8.ValidString(key) }
+
+// sectionKeys returns the keys of sections, without those that have no ID and, in a long prompt, repetitions of others.
+func sectionKeys(sections []dispatch.PromptSection) []string {
+	keys := make([]string, 0, len(sections))
+	var seen map[string]bool
+	if len(sections) > maxNamed {
+		seen = make(map[string]bool, len(sections))
+	}
+	for _, section := range sections {
+		key := sectionKey(section.ID)
+		if section.ID == "" || seen[key] {
+			continue
+		}
+		if seen != nil {
+			seen[key] = true
+		}
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+// retained returns keys that don't keep the request's header in memory.
+func retained(keys []string) []string {
+	clones := make([]string, len(keys))
+	for i, key := range keys {
+		clones[i] = strings.Clone(key)
+	}
+	return clones
+}
+
+// sample returns the sections, or some of a long prompt, which chance selects.
+func sample(sections []dispatch.PromptSection, limit int) []dispatch.PromptSection {
+	if len(sections) <= limit {
+		return sections
+	}
+	sampled := make([]dispatch.PromptSection, limit)
+	for i := range sampled {
+		sampled[i] = sections[rand.IntN(len(sections))]
+	}
+	return sampled
+}
+
+// The ranks of the sections of a prompt that broke off, the most telling first.
+const (
+	rankWatched = iota
+	rankRecurring
+	rankUnknown
+	rankSound
+)
+
+// mostTelling returns the sections of a prompt that a strike names, in their order in the prompt: all, or of a long prompt those that
+// are suspected already, then those that were in other prompts that broke off here, then those that no answer has shown to be sound.
+func (g *Guard) mostTelling(keys []string) []string {
+	if len(keys) <= maxNamed {
+		return keys
+	}
+	v := g.view.Load()
+	rank := func(key string) int {
+		switch {
+		case v.matters(key):
+			return rankWatched
+		case g.answered.has(key):
+			return rankSound
+		case g.struck.has(key):
+			return rankRecurring
+		default:
+			return rankUnknown
+		}
+	}
+	positions := make([]int, len(keys))
+	ranks := make([]int, len(keys))
+	for i, key := range keys {
+		positions[i], ranks[i] = i, rank(key)
+	}
+	// Of equal ones, chance decides, so that no prompt hides a section for long.
+	rand.Shuffle(len(positions), func(i, j int) { positions[i], positions[j] = positions[j], positions[i] })
+	slices.SortStableFunc(positions, func(a, b int) int { return cmp.Compare(ranks[a], ranks[b]) })
+	positions = positions[:maxNamed]
+	slices.Sort(positions)
+	named := make([]string, maxNamed)
+	for i, position := range positions {
+		named[i] = keys[position]
+	}
+	return named
+}
--- a/internal/promptguard/verdicts.go
+++ b/internal/promptguard/verdicts.go
@@ -61,7 +61,7 @@
 // recordSound records how long ago answers with sections began, and whether they were proven to be sound.
 func (g *Guard) recordSound(ages map[string]time.Duration, proven bool, now time.Time) {
 	for section, age := range ages {
-		if trackable(section) && g.detector.Sound(section, now.Add(-max(age, 0)), proven) {
+		if validKey(section) && g.detector.Sound(section, now.Add(-max(age, 0)), proven) {
 			g.release([]string{section}, reasonAnswered, now)
 		}
 	}
@@ -135,7 +135,7 @@
 
 // merge adds the record of another VM or of the store.
 func (g *Guard) merge(e quarantine.Entry, now time.Time) {
-	if !trackable(e.Section) || e.Obsolete(now) {
+	if !validKey(e.Section) || e.Obsolete(now) {
 		return
 	}
 	g.list.Merge(e, now)
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -17,11 +17,11 @@
 	strikeTTL = 10 * time.Minute
 	// maxSuspicions, maxCrashes, maxStrikes, maxCrashSections and maxParoled bound the memory: the suspicions, the crashes, the
 	// strikes of a suspicion, the suspects of a crash and the sections on parole.
-	maxSuspicions    = 2048
+	maxSuspicions    = 4096
 	maxParoled       = 1024
 	maxCrashes       = 512
 	maxStrikes       = 32
-	maxCrashSections = 128
+	maxCrashSections = 256
 	// maxWatched is the maximum number of sections that Watched returns.
 	maxWatched = 64
 )
@@ -101,16 +101,14 @@
 		return released
 	}
 	for _, section := range s.Sections {
-		if len(c.suspects) < maxCrashSections {
-			c.suspects[suspect{section, s.stage()}] = true
-		}
+		d.accuse(s.Incarnation, c, suspect{section, s.stage()})
 		c.explained = c.explained || d.Convicted(section)
 	}
 	if c.explained {
 		d.dropStrikes(s.Incarnation, c)
 	}
 	for depth, section := range s.Sections {
-		if !c.explained || d.Convicted(section) {
+		if accused := c.suspects[suspect{section, s.stage()}]; accused && (!c.explained || d.Convicted(section)) {
 			d.suspicionOf(suspect{section, s.stage()}).add(s, depth)
 		}
 	}
@@ -118,6 +116,33 @@
 	return released
 }
 
+// accuse adds a suspect to a crash. Once there are many, only those that were pending at other crashes count.
+func (d *Detector) accuse(incarnation Incarnation, c *crash, s suspect) {
+	if c.suspects[s] || len(c.suspects) < maxCrashSections {
+		c.suspects[s] = true
+		return
+	}
+	if !d.recurs(s, incarnation) {
+		return
+	}
+	for other := range c.suspects {
+		if !d.recurs(other, incarnation) {
+			delete(c.suspects, other)
+			c.suspects[s] = true
+			return
+		}
+	}
+}
+
+// recurs reports whether a suspect is convicted, or was pending at the crash of another incarnation.
+func (d *Detector) recurs(s suspect, incarnation Incarnation) bool {
+	if d.Convicted(s.section) {
+		return true
+	}
+	suspected := d.suspicions[s]
+	return suspected != nil && slices.ContainsFunc(suspected.strikes, func(known strike) bool { return known.incarnation != incarnation })
+}
+
 // Success records an answer and returns the sections whose conviction it refutes.
 func (d *Detector) Success(success Success) (released []string) {
 	soundAt := success.SoundAt()
@@ -283,9 +308,19 @@
 	return next, released
 }
 
-// evictSuspicions drops those whose evidence is oldest if there are too many.
+// evictSuspicions drops suspicions if there are too many: those with the fewest strikes, which any prompt can cause, and among them
+// those whose evidence is oldest.
 func (d *Detector) evictSuspicions() {
-	evictOldest(d.suspicions, maxSuspicions, func(s *suspicion) time.Time { return s.changedAt() })
+	if len(d.suspicions) <= maxSuspicions {
+		return
+	}
+	suspects := slices.SortedFunc(maps.Keys(d.suspicions), func(a, b suspect) int {
+		x, y := d.suspicions[a], d.suspicions[b]
+		return cmp.Or(cmp.Compare(min(len(x.strikes), 2), min(len(y.strikes), 2)), x.changedAt().Compare(y.changedAt()))
+	})
+	for _, s := range suspects[:maxSuspicions/8] {
+		delete(d.suspicions, s)
+	}
 }
 
 // evictOldest deletes the oldest entries of a map until it has at most limit.
