outbound, httpendpoint: take no response with an impossible status for one

Callers saw: where a runner's status was 000, 001, 099 or +20, net/http panicked as the status was written, and the caller's connection closed without an answer; safe requests weren't sent to another runner. 600 and 999 reached the caller with the runner's signature.

Cause: http.ReadResponse accepts any three characters that are a number, and nothing checked the number.

Change: a final response has a status from 200 to 599. Another one is no response, after which the request may have run: one that may run again goes on elsewhere, the caller of another one gets 502. 101 is none either, as no request asks for another protocol. The client of the product's own interface checks the same, as it forwards statuses too.

--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // NotSentError reports a call that failed before any byte of it can have reached the endpoint.
 type NotSentError struct {
@@ -63,3 +66,23 @@
 func (e *RequestIDMismatchError) Error() string {
 	return fmt.Sprintf("received the response to %q instead of %q", e.Got, e.Want)
 }
+
+// InvalidStatusError reports a final response with a status that HTTP does not define, which is no response to the call.
+type InvalidStatusError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string { return fmt.Sprintf("invalid status %d", e.Status) }
+
+// maxStatus is the greatest status of HTTP.
+const maxStatus = 599
+
+// CheckStatus fails with InvalidStatusError unless a status is one of a final response. Calls never ask for another protocol, so that
+// the status which changes it is none.
+func CheckStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return &InvalidStatusError{Status: status}
+	}
+	return nil
+}
--- a/internal/endpoint/httpendpoint/client.go
+++ b/internal/endpoint/httpendpoint/client.go
@@ -125,6 +125,13 @@
 	if err != nil {
 		return nil, transportError(address, err)
 	}
+	if err := endpoint.CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return nil, &endpoint.NoResponseError{
+			Address: address,
+			Cause:   err,
+		}
+	}
 	return response, nil
 }
 
--- a/internal/endpoint/httpendpoint/client_test.go
+++ b/internal/endpoint/httpendpoint/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -139,3 +140,29 @@
 	defer response.Body.Close()
 	require.Equal(t, http.StatusTemporaryRedirect, response.StatusCode)
 }
+
+// A status that HTTP does not define must not be passed on: net/http panics where a server writes it.
+func TestForwardRejectsImpossibleStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "101", "600"} {
+		t.Run(status, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+			request, err := http.NewRequest(http.MethodPost, "http://h.example/book", nil)
+			require.NoError(t, err)
+			_, err = httpendpoint.New().Forward(t.Context(), listener.Addr().String(), request, true)
+			var noResponse *endpoint.NoResponseError
+			require.ErrorAs(t, err, &noResponse)
+		})
+	}
+}
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -130,7 +130,8 @@
 	return nil, &endpoint.RequestIDMismatchError{}
 }
 
-// readFinalResponse reads the header of the next response that is not an interim one.
+// readFinalResponse reads the header of the next response that is not an interim one. It fails with endpoint.InvalidStatusError if it
+// has an impossible status, which http.ReadResponse accepts.
 func readFinalResponse(c *conn, target Target, request Request) (*http.Response, error) {
 	c.head.limit(target.OnHeadRead)
 	defer c.head.unlimit()
@@ -139,12 +140,21 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < 100 || response.StatusCode >= 200 {
-			return response, checkLines(response.Header)
+		if isInterim(response.StatusCode) {
+			continue
 		}
+		if err := endpoint.CheckStatus(response.StatusCode); err != nil {
+			return nil, err
+		}
+		return response, checkLines(response.Header)
 	}
 }
 
+// isInterim reports whether a final response follows one with a status.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // checkLines fails with HeadTooLargeError if a header has too many lines, which all came with the last bytes read.
 func checkLines(header http.Header) error {
 	lines := 0
