serving, buffer, dispatch: leave room for what many endless responses take

Callers would see: a process of 144 MB ends by its memory, and all requests on it, while a faulty runner answers 1,200 of them with an event that never ends.

From a heap profile, incomplete events held 40 MB where 18 MB are allowed: evicted responses hold on until their requests notice, and growing them makes garbage faster than it is collected.

Parts of bodies on their way use the same memory again. Bytes that are no HTTP are given up at the fifth one.

--- a/internal/buffer/budget.go
+++ b/internal/buffer/budget.go
@@ -8,9 +8,11 @@
 
 // Budget is the number of bytes that all shares of it may hold together; it is safe for concurrent use.
 type Budget struct {
-	limit   int64
-	held    atomic.Int64
-	evicted atomic.Uint64
+	limit int64
+	// perShare is by how much each open share lowers the limit, down to a quarter.
+	perShare int64
+	held     atomic.Int64
+	evicted  atomic.Uint64
 
 	mu sync.Mutex
 	// claimed is what the shares hold that are not evicted, optional the part of that which TryHold claimed. Those that hold
@@ -18,16 +20,27 @@
 	claimed  int64
 	optional int64
 	shares   map[*Share]struct{}
+	// open is the number of shares that are not released.
+	open int64
 }
 
-// NewBudget returns a budget with a limit in bytes.
-func NewBudget(limit int64) *Budget {
+// minLimitDivisor is the part of the limit that remains however many shares are open.
+const minLimitDivisor = 4
+
+// NewBudget returns a budget with a limit in bytes, which each open share lowers by perShare bytes, for what it takes besides.
+func NewBudget(limit, perShare int64) *Budget {
 	return &Budget{
-		limit:  limit,
-		shares: make(map[*Share]struct{}),
+		limit:    limit,
+		perShare: perShare,
+		shares:   make(map[*Share]struct{}),
 	}
 }
 
+// currentLimit returns what the open shares may hold together; the caller holds the lock.
+func (b *Budget) currentLimit() int64 {
+	return max(b.limit-b.open*b.perShare, b.limit/minLimitDivisor)
+}
+
 // Held returns how many bytes all shares hold now, evicted ones included.
 func (b *Budget) Held() int64 { return b.held.Load() }
 
@@ -36,6 +49,9 @@
 
 // Share returns a share that holds nothing yet. If it is evicted, onEvict is called once; it must not block.
 func (b *Budget) Share(onEvict func(*EvictedError)) *Share {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open++
 	return &Share{
 		budget:  b,
 		onEvict: onEvict,
@@ -77,7 +93,7 @@
 	if !s.optional {
 		optional = b.optional + int64(bytes)
 	}
-	if s.Evicted() != nil || b.claimed+more > b.limit || optional > b.limit/2 {
+	if s.Evicted() != nil || b.claimed+more > b.currentLimit() || optional > b.currentLimit()/2 {
 		return false
 	}
 	b.set(s, int64(bytes), true)
@@ -91,7 +107,7 @@
 	b.mu.Lock()
 	b.set(s, int64(bytes), false)
 	var victims []*Share
-	for b.claimed > b.limit {
+	for b.claimed > b.currentLimit() {
 		victims = append(victims, b.evictLargest())
 	}
 	b.mu.Unlock()
@@ -109,7 +125,10 @@
 	s.budget.mu.Lock()
 	defer s.budget.mu.Unlock()
 	s.budget.set(s, 0, false)
-	s.released = true
+	if !s.released {
+		s.released = true
+		s.budget.open--
+	}
 }
 
 // Evicted returns why the share was evicted, or nil if it was not.
@@ -161,7 +180,7 @@
 	b.evicted.Add(1)
 	largest.evicted.Store(&EvictedError{
 		Bytes: largest.held,
-		Limit: b.limit,
+		Limit: b.currentLimit(),
 	})
 	return largest
 }
--- a/internal/buffer/budget_test.go
+++ b/internal/buffer/budget_test.go
@@ -13,7 +13,7 @@
 func ignore(*buffer.EvictedError) {}
 
 func TestLargestShareIsEvictedFirst(t *testing.T) {
-	b := buffer.NewBudget(100)
+	b := buffer.NewBudget(100, 0)
 	small, large, growing := b.Share(ignore), b.Share(ignore), b.Share(ignore)
 	require.NoError(t, small.Hold(20))
 	require.NoError(t, large.Hold(60))
@@ -29,7 +29,7 @@
 }
 
 func TestShareThatOutgrowsTheBudgetIsEvictedItself(t *testing.T) {
-	b := buffer.NewBudget(100)
+	b := buffer.NewBudget(100, 0)
 	calls := 0
 	small := b.Share(ignore)
 	growing := b.Share(func(*buffer.EvictedError) { calls++ })
@@ -43,7 +43,7 @@
 }
 
 func TestTryHoldTakesHalfAndEvictsNothing(t *testing.T) {
-	b := buffer.NewBudget(100)
+	b := buffer.NewBudget(100, 0)
 	first, second, third := b.Share(ignore), b.Share(ignore), b.Share(ignore)
 	require.True(t, first.TryHold(30))
 	require.True(t, first.TryHold(40))
@@ -58,7 +58,7 @@
 
 // What is only collected for its callers' sake can be passed on, so it outlives what can't.
 func TestOptionalSharesAreEvictedLast(t *testing.T) {
-	b := buffer.NewBudget(100)
+	b := buffer.NewBudget(100, 0)
 	body, small, large := b.Share(ignore), b.Share(ignore), b.Share(ignore)
 	require.True(t, body.TryHold(50))
 	require.NoError(t, small.Hold(20))
@@ -72,7 +72,7 @@
 
 // An attempt may be counted by its reader after it has ended.
 func TestReleasedShareHoldsNothing(t *testing.T) {
-	b := buffer.NewBudget(100)
+	b := buffer.NewBudget(100, 0)
 	s := b.Share(ignore)
 	require.NoError(t, s.Hold(50))
 	s.Release()
@@ -85,7 +85,7 @@
 // However shares grow at once, nothing is held once all are released.
 func TestSharesOfManyGoroutinesAreReleased(t *testing.T) {
 	const limit = 10_000
-	b := buffer.NewBudget(limit)
+	b := buffer.NewBudget(limit, 0)
 	var shares sync.WaitGroup
 	for i := range 50 {
 		shares.Go(func() {
@@ -100,3 +100,23 @@
 	whole := b.Share(ignore)
 	require.NoError(t, whole.Hold(limit))
 }
+
+// Many responses leave less for what they hold, as each takes memory besides; some always remains.
+func TestOpenSharesLowerLimit(t *testing.T) {
+	b := buffer.NewBudget(100, 10)
+	first, second := b.Share(ignore), b.Share(ignore)
+	require.True(t, first.TryHold(40))
+	require.NoError(t, second.Hold(40))
+	var others []*buffer.Share
+	for range 20 {
+		others = append(others, b.Share(ignore))
+	}
+	require.Error(t, second.Hold(41))
+	require.EqualValues(t, 25, second.Evicted().Limit)
+	for _, share := range others {
+		share.Release()
+		share.Release()
+	}
+	second.Release()
+	require.NoError(t, b.Share(ignore).Hold(40))
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,11 +68,28 @@
 type update struct {
 	response *Response
 	data     []byte
-	err      error
+	// buffer is what data is in, until the update has been handled.
+	buffer *chunk
+	err    error
 	// at is when it arrived, which may be long before it is handled.
 	at time.Time
 }
 
+// chunk is the memory of a part of a body.
+type chunk [chunkBytes]byte
+
+// chunks keeps chunks for further use: runners that send without end would otherwise cause garbage faster than it is collected.
+var chunks = sync.Pool{
+	New: func() any { return new(chunk) },
+}
+
+// recycle ends the use of the data, which must have been copied or passed on.
+func (u update) recycle() {
+	if u.buffer != nil {
+		chunks.Put(u.buffer)
+	}
+}
+
 // startAttempt sends the request to a runner.
 func (c *call) startAttempt(ctx context.Context, pick choice) *attempt {
 	now := c.d.Clock.Now()
@@ -117,12 +135,13 @@
 		return
 	}
 	for {
-		buffer := make([]byte, chunkBytes)
-		n, err := response.Body.Read(buffer)
+		buffer := chunks.Get().(*chunk)
+		n, err := response.Body.Read(buffer[:])
 		delivered := a.deliver(update{
-			data: buffer[:n],
-			err:  err,
-			at:   clock.Now(),
+			data:   buffer[:n],
+			buffer: buffer,
+			err:    err,
+			at:     clock.Now(),
 		})
 		if !delivered || err != nil {
 			return
@@ -191,6 +210,7 @@
 				return
 			}
 			left -= len(u.data)
+			u.recycle()
 		case <-timer.Chan():
 			return
 		}
--- a/internal/dispatch/harness_test.go
+++ b/internal/dispatch/harness_test.go
@@ -276,7 +276,7 @@
 		RetryBudget: h.retryBudget,
 		Sender:      h.sender,
 		Demand:      h.demand,
-		Buffers:     buffer.NewBudget(bufferBytes),
+		Buffers:     buffer.NewBudget(bufferBytes, 0),
 		Metrics:     dispatch.NewMetrics(prometheus.NewRegistry()),
 		Clock:       clock,
 		Logger:      slog.New(slog.DiscardHandler),
--- a/internal/dispatch/hold_test.go
+++ b/internal/dispatch/hold_test.go
@@ -22,7 +22,7 @@
 	for path, requests := range map[string]int{"/stream/": 2, "/once/": 1} {
 		t.Run(path, func(t *testing.T) {
 			h := newHarness(t, endless, stream(io.EOF, "id: 1\ndata: a\n\n"))
-			h.dispatcher.Buffers = buffer.NewBudget(64 << 10)
+			h.dispatcher.Buffers = buffer.NewBudget(64<<10, 0)
 			log := h.captureRecords()
 			h.serve(t, path)
 			require.Equal(t, requests, h.sender.count())
@@ -44,7 +44,7 @@
 	for _, path := range []string{"/safe/", "/unsafe/"} {
 		t.Run(path, func(t *testing.T) {
 			h := newHarness(t, stream(io.EOF, slices.Repeat([]string{block}, 100)...))
-			h.dispatcher.Buffers = buffer.NewBudget(16 << 10)
+			h.dispatcher.Buffers = buffer.NewBudget(16<<10, 0)
 			h.serve(t, path)
 			require.Equal(t, strings.Repeat(block, 100), h.caller.body)
 			require.False(t, h.caller.aborted)
@@ -58,7 +58,7 @@
 func TestLargeEventsArePassedOnOneAfterTheOther(t *testing.T) {
 	chunks := slices.Repeat(append(append([]string{"data: "}, slices.Repeat([]string{block}, 20)...), "\n\n"), 10)
 	h := newHarness(t, stream(io.EOF, chunks...))
-	h.dispatcher.Buffers = buffer.NewBudget(128 << 10)
+	h.dispatcher.Buffers = buffer.NewBudget(128<<10, 0)
 	h.serve(t, "/once/")
 	require.Equal(t, strings.Join(chunks, ""), h.caller.body)
 	require.Zero(t, h.dispatcher.Buffers.Evicted())
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -18,6 +18,7 @@
 
 // handleUpdate handles an update of an attempt. It reports whether the request has ended; the refusal, if any, is for the caller.
 func (c *call) handleUpdate(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
+	defer u.recycle()
 	if ctx.Err() != nil {
 		return false, nil
 	}
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -130,12 +130,24 @@
 	return nil, &endpoint.RequestIDMismatchError{}
 }
 
+// protocolName begins each response.
+const protocolName = "HTTP/"
+
+// ProtocolError reports that an endpoint sent something else than a response.
+type ProtocolError struct{}
+
+// Error implements error.
+func (e *ProtocolError) Error() string { return "what the endpoint sent is no HTTP response" }
+
 // readFinalResponse reads the header of the next response that is not an interim one. It fails with endpoint.InvalidStatusError if it
-// has an impossible status, which http.ReadResponse accepts.
+// has an impossible status, which http.ReadResponse accepts, and at once with ProtocolError if no response begins.
 func readFinalResponse(c *conn, target Target, request Request) (*http.Response, error) {
 	c.head.limit(target.OnHeadRead)
 	defer c.head.unlimit()
 	for {
+		if start, err := c.reader.Peek(len(protocolName)); err == nil && string(start) != protocolName {
+			return nil, &ProtocolError{}
+		}
 		response, err := http.ReadResponse(c.reader, request.httpRequest())
 		if err != nil {
 			return nil, err
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -87,7 +87,7 @@
 		}),
 		retryBudget: dispatch.NewRetryBudget(retryLimits(d.Settings), d.Clock.Now()),
 		demand:      orders.NewMeter(d.Clock.Now()),
-		buffers:     buffer.NewBudget(bufferBytes(d.Settings.VM)),
+		buffers:     buffer.NewBudget(bufferBytes(d.Settings.VM), attemptBytes),
 		incarnation: uuid.NewString(),
 		startedAt:   d.Clock.Now(),
 	}
