--- a/internal/promptguard/duties.go
+++ b/internal/promptguard/duties.go
@@ -59,7 +59,11 @@
 			continue
 		}
 		g.list.Requested(section, at)
-		if key := (reportKey{section, requestReport}); now.Sub(g.reportedAt[key]) >= requestReportInterval {
+		key := reportKey{
+			section: section,
+			kind:    requestReport,
+		}
+		if now.Sub(g.reportedAt[key]) >= requestReportInterval {
 			g.reportedAt[key] = now
 			requested = append(requested, section)
 		}
--- a/internal/promptguard/guard.go
+++ b/internal/promptguard/guard.go
@@ -260,7 +260,10 @@
 func (g *Guard) reportDue(success quarantine.Success, v *view, now time.Time) bool {
 	due := false
 	for _, section := range success.Sections {
-		key := reportKey{section, begunReport}
+		key := reportKey{
+			section: section,
+			kind:    begunReport,
+		}
 		if success.Proven {
 			key.kind = provenReport
 		}
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -26,27 +26,6 @@
 	maxWatched = 64
 )
 
-// stage is when a section crashes its runners.
-type stage int
-
-const (
-	// beforeData means that runners end before any data of the answer arrives.
-	beforeData stage = iota
-	// afterData means that runners end soon after the first data of the answer. Requests that ran beside one with such a section may
-	// have begun as recently, so only an answer that went on shows that a section is not of this kind.
-	afterData
-)
-
-// stages lists all stages.
-var stages = [...]stage{beforeData, afterData}
-
-// suspect is a section that may crash runners in a stage. The stages have evidence of their own, since a section that crashes runners
-// does so in the same stage each time, and one that ran beside it was in either.
-type suspect struct {
-	section string
-	stage   stage
-}
-
 // Detector finds the sections that crash runners. It is not safe for concurrent use.
 type Detector struct {
 	suspicions map[suspect]*suspicion
@@ -56,25 +35,6 @@
 	paroled   map[string]time.Time
 }
 
-// crash is the break-off of an incarnation's connections.
-type crash struct {
-	at time.Time
-	// suspects lists the sections of the requests that broke off.
-	suspects map[suspect]bool
-	// explained is set if a convicted section was pending.
-	explained bool
-	// aliveAt is until when the incarnation is known to have run.
-	aliveAt time.Time
-}
-
-// alive reports whether the incarnation ran on, so that there was no crash.
-func (c *crash) alive() bool { return c.aliveAt.After(c.at) }
-
-// has reports whether a section was pending in any stage.
-func (c *crash) has(section string) bool {
-	return c.suspects[suspect{section, beforeData}] || c.suspects[suspect{section, afterData}]
-}
-
 // conviction is the finding that a section crashes runners.
 type conviction struct {
 	at time.Time
@@ -101,48 +61,21 @@
 		return released
 	}
 	for _, section := range s.Sections {
-		d.accuse(s.Incarnation, c, suspect{section, s.stage()})
+		d.accuse(s.Incarnation, c, suspectAt(section, s.stage()))
 		c.explained = c.explained || d.Convicted(section)
 	}
 	if c.explained {
 		d.dropStrikes(s.Incarnation, c)
 	}
 	for depth, section := range s.Sections {
-		if accused := c.suspects[suspect{section, s.stage()}]; accused && (!c.explained || d.Convicted(section)) {
-			d.suspicionOf(suspect{section, s.stage()}).add(s, depth)
+		if accused := c.suspects[suspectAt(section, s.stage())]; accused && (!c.explained || d.Convicted(section)) {
+			d.suspicionOf(suspectAt(section, s.stage())).add(s, depth)
 		}
 	}
 	d.evictSuspicions()
 	return released
 }
 
-// accuse adds a suspect to a crash. Once there are many, only those that were pending at other crashes count.
-func (d *Detector) accuse(incarnation Incarnation, c *crash, s suspect) {
-	if c.suspects[s] || len(c.suspects) < maxCrashSections {
-		c.suspects[s] = true
-		return
-	}
-	if !d.recurs(s, incarnation) {
-		return
-	}
-	for other := range c.suspects {
-		if !d.recurs(other, incarnation) {
-			delete(c.suspects, other)
-			c.suspects[s] = true
-			return
-		}
-	}
-}
-
-// recurs reports whether a suspect is convicted, or was pending at the crash of another incarnation.
-func (d *Detector) recurs(s suspect, incarnation Incarnation) bool {
-	if d.Convicted(s.section) {
-		return true
-	}
-	suspected := d.suspicions[s]
-	return suspected != nil && slices.ContainsFunc(suspected.strikes, func(known strike) bool { return known.incarnation != incarnation })
-}
-
 // Success records an answer and returns the sections whose conviction it refutes.
 func (d *Detector) Success(success Success) (released []string) {
 	soundAt := success.SoundAt()
@@ -163,7 +96,7 @@
 		if stage == afterData && !proven {
 			continue
 		}
-		s := suspect{section, stage}
+		s := suspectAt(section, stage)
 		known := d.suspicions[s] != nil
 		suspected := d.suspicionOf(s)
 		suspected.clear(at)
@@ -220,7 +153,7 @@
 // forget drops what is held against a section.
 func (d *Detector) forget(section string) {
 	for _, stage := range stages {
-		delete(d.suspicions, suspect{section, stage})
+		delete(d.suspicions, suspectAt(section, stage))
 	}
 }
 
@@ -286,28 +219,6 @@
 	return suspected
 }
 
-// crashOf returns the crash of an incarnation to which a strike belongs. If there was an earlier one, the incarnation ran on
-// after it; the sections whose conviction this refutes are returned.
-func (d *Detector) crashOf(incarnation Incarnation, at time.Time) (c *crash, released []string) {
-	c = d.crashes[incarnation]
-	if c != nil && at.After(c.at.Add(crashSpan)) {
-		released = d.Alive(incarnation, c.at.Add(crashSpan))
-	}
-	if c != nil && (!c.alive() || !at.After(c.aliveAt)) {
-		return c, released
-	}
-	next := &crash{
-		at:       at,
-		suspects: make(map[suspect]bool),
-	}
-	if c != nil {
-		next.aliveAt = c.aliveAt
-	}
-	d.crashes[incarnation] = next
-	evictOldest(d.crashes, maxCrashes, func(c *crash) time.Time { return c.at })
-	return next, released
-}
-
 // evictSuspicions drops suspicions if there are too many: those with the fewest strikes, which any prompt can cause, and among them
 // those whose evidence is oldest.
 func (d *Detector) evictSuspicions() {
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -33,20 +33,6 @@
 	}
 }
 
-// proven returns a success that shows that no section crashes runners after their first data.
-func proven(sent, begun float64, sections ...string) quarantine.Success {
-	s := success(sent, begun, sections...)
-	s.Proven = true
-	return s
-}
-
-// begun returns a strike at a runner that had begun to answer.
-func begun(runner string, sent, brokeOff float64, sections ...string) quarantine.Strike {
-	s := strike(runner, sent, brokeOff, sections...)
-	s.Begun = true
-	return s
-}
-
 // convictions feeds strikes to a detector and returns what it convicts.
 func convictions(d *quarantine.Detector, strikes ...quarantine.Strike) []string {
 	var convicted []string
--- a/internal/quarantine/stage_test.go
+++ b/internal/quarantine/stage_test.go
@@ -9,6 +9,20 @@
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 )
 
+// proven returns a success that shows that no section crashes runners after their first data.
+func proven(sent, begun float64, sections ...string) quarantine.Success {
+	s := success(sent, begun, sections...)
+	s.Proven = true
+	return s
+}
+
+// begun returns a strike at a runner that had begun to answer.
+func begun(runner string, sent, brokeOff float64, sections ...string) quarantine.Strike {
+	s := strike(runner, sent, brokeOff, sections...)
+	s.Begun = true
+	return s
+}
+
 // The first data of an answer must not clear a section that crashes runners right after it.
 func TestFirstDataDoesNotClearSectionThatCrashesAfterIt(t *testing.T) {
 	d := quarantine.NewDetector()
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -38,7 +38,7 @@
 // releaseExplained releases the convicted sections whose crashes are explained by a section that is convicted now.
 func (d *Detector) releaseExplained(by string) (released []string) {
 	for section, c := range d.convicted {
-		suspected := d.suspicions[suspect{section, c.stage}]
+		suspected := d.suspicions[suspectAt(section, c.stage)]
 		if c.strikes == 0 || suspected == nil {
 			continue
 		}
