promptguard, quarantine: keep the places of sections in strikes of long prompts

Cause: while nothing is answered, the sections common to all crashes can't be told apart but by their places; the last one is convicted. A strike of a long prompt names some of its sections, and the index among these was taken for the place in the prompt. Besides, sections that answers had cleared were named in place of the one that none had, as long as they were watched, and a verdict fell between two strikes of the same crash.

Evidence: TestDeadlySectionIsFoundWhileNothingIsAnswered failed in all of its cases before.

Change: strikes carry the places of sections of long prompts. What no answer has cleared is named first; 16 sections by rank, the last 8, and 8 by chance.

--- a/internal/promptguard/ends.go
+++ b/internal/promptguard/ends.go
@@ -33,9 +33,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	named := retained(g.mostTelling(keys))
+	named, depths := g.mostTelling(keys)
 	g.ends = append(g.ends, unmarkedEnd{
-		strike:  p.Strike(incarnationOf(runner), named, at),
+		strike:  p.Strike(incarnationOf(runner), named, at).WithDepths(depths),
 		success: p.WithEnd(at).Success(named),
 	})
 	if len(g.ends) > maxEnds {
--- a/internal/promptguard/guard.go
+++ b/internal/promptguard/guard.go
@@ -170,7 +170,8 @@
 	incarnation := incarnationOf(runner)
 	g.strikeEnds(incarnation, now)
 	if p.MayCrash(at) && len(keys) > 0 {
-		g.addStrike(p.Strike(incarnation, retained(g.mostTelling(keys)), at), now)
+		named, depths := g.mostTelling(keys)
+		g.addStrike(p.Strike(incarnation, named, at).WithDepths(depths), now)
 		g.struck.add(keys, now)
 	}
 }
--- a/internal/promptguard/sections.go
+++ b/internal/promptguard/sections.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// maxNamed is how many sections of a prompt a strike names, maxRemembered how many of an answer are remembered as sound.
-	maxNamed      = 32
+	// maxNamed is how many sections of a prompt a strike names. namedByRank of those are selected by their ranks, namedByDepth by their
+	// places, and chance selects the others.
+	maxNamed     = 32
+	namedByRank  = 16
+	namedByDepth = 8
+	// maxRemembered is how many sections of an answer are remembered as sound.
 	maxRemembered = 256
 	// maxPlainKey is the size of the longest section ID that is its own key.
 	maxPlainKey = 128
@@ -81,46 +85,58 @@
 	return sampled
 }
 
-// The ranks of the sections of a prompt that broke off, the most telling first.
+// The ranks of the sections of a prompt that broke off, the most telling first. Those of sections that an answer has shown to be sound
+// come after all others.
 const (
 	rankWatched = iota
 	rankRecurring
 	rankUnknown
-	rankSound
+	soundRanks
 )
 
-// mostTelling returns the sections of a prompt that a strike names, in their order in the prompt: all, or of a long prompt those that
-// are suspected already, then those that were in other prompts that broke off here, then those that no answer has shown to be sound.
-func (g *Guard) mostTelling(keys []string) []string {
+// rank returns the rank of a section.
+func (g *Guard) rank(key string, v *view) int {
+	rank := rankUnknown
+	switch {
+	case v.matters(key):
+		rank = rankWatched
+	case g.struck.has(key):
+		rank = rankRecurring
+	}
+	if g.answered.has(key) {
+		rank += soundRanks
+	}
+	return rank
+}
+
+// mostTelling returns the sections of a prompt that a strike names and their positions, in their order in the prompt: all, or of a long
+// prompt those that no answer has shown to be sound, and of these mostly the suspects, then those that were in other prompts that broke off
+// here. Of equal ones, the last in the prompt come first, as fewer requests share them; the last of all and some that chance selects are
+// named as well, so that no prompt hides a section for long. The positions are nil if all are named.
+func (g *Guard) mostTelling(keys []string) (named []string, depths []int) {
 	if len(keys) <= maxNamed {
-		return keys
+		return retained(keys), nil
 	}
 	v := g.view.Load()
-	rank := func(key string) int {
-		switch {
-		case v.matters(key):
-			return rankWatched
-		case g.answered.has(key):
-			return rankSound
-		case g.struck.has(key):
-			return rankRecurring
-		default:
-			return rankUnknown
-		}
-	}
-	positions := make([]int, len(keys))
+	order := make([]int, len(keys))
 	ranks := make([]int, len(keys))
 	for i, key := range keys {
-		positions[i], ranks[i] = i, rank(key)
+		order[i], ranks[i] = i, g.rank(key, v)
 	}
-	// Of equal ones, chance decides, so that no prompt hides a section for long.
-	rand.Shuffle(len(positions), func(i, j int) { positions[i], positions[j] = positions[j], positions[i] })
-	slices.SortStableFunc(positions, func(a, b int) int { return cmp.Compare(ranks[a], ranks[b]) })
-	positions = positions[:maxNamed]
-	slices.Sort(positions)
-	named := make([]string, maxNamed)
-	for i, position := range positions {
-		named[i] = keys[position]
+	byRank := func(a, b int) int { return cmp.Compare(ranks[a], ranks[b]) }
+	slices.SortFunc(order, func(a, b int) int { return cmp.Or(byRank(a, b), cmp.Compare(b, a)) })
+	rest := order[namedByRank:]
+	slices.SortFunc(rest, func(a, b int) int {
+		return cmp.Or(cmp.Compare(ranks[a]/soundRanks, ranks[b]/soundRanks), cmp.Compare(b, a))
+	})
+	rest = rest[namedByDepth:]
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	slices.SortStableFunc(rest, byRank)
+	depths = slices.Clone(order[:maxNamed])
+	slices.Sort(depths)
+	named = make([]string, maxNamed)
+	for i, depth := range depths {
+		named[i] = keys[depth]
 	}
-	return named
+	return retained(named), depths
 }
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -67,9 +67,9 @@
 	if c.explained {
 		d.dropStrikes(s.Incarnation, c)
 	}
-	for depth, section := range s.Sections {
+	for i, section := range s.Sections {
 		if accused := c.suspects[suspectAt(section, s.stage())]; accused && (!c.explained || d.Convicted(section)) {
-			d.suspicionOf(suspectAt(section, s.stage())).add(s, depth)
+			d.suspicionOf(suspectAt(section, s.stage())).add(s, s.depth(i))
 		}
 	}
 	d.evictSuspicions()
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -13,7 +13,9 @@
 	Incarnation Incarnation
 	// Sections lists the sections of the prompt in order, without the request's own.
 	Sections []string
-	SentAt   time.Time
+	// Depths lists the positions of the sections in the prompt, unless all of its first ones are listed.
+	Depths []int
+	SentAt time.Time
 	// At is when the connection broke off.
 	At time.Time
 	// Begun is set if data of the answer had arrived before.
@@ -28,6 +30,20 @@
 	return beforeData
 }
 
+// depth returns the position in the prompt of a section of the list.
+func (s Strike) depth(i int) int {
+	if i < len(s.Depths) {
+		return s.Depths[i]
+	}
+	return i
+}
+
+// WithDepths returns the strike with the positions of its sections in the prompt.
+func (s Strike) WithDepths(depths []int) Strike {
+	s.Depths = depths
+	return s
+}
+
 // Success describes a request that a runner has begun to answer. That shows that its sections do not crash runners before they begin
 // to answer.
 type Success struct {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -12,6 +13,8 @@
 	// Strikes lists those of requests whose answer had not begun, BegunStrikes the others.
 	Strikes      []StrikeReport `cbor:",omitempty"`
 	BegunStrikes []StrikeReport `cbor:",omitempty"`
+	// Depths lists the positions in their prompts of sections of long ones; that of any other section is its index in the strike.
+	Depths map[string]int `cbor:",omitempty"`
 	// Successes lists those that are not proven, Proven the others.
 	Successes []SuccessReport `cbor:",omitempty"`
 	Proven    []SuccessReport `cbor:",omitempty"`
@@ -82,6 +85,16 @@
 		SentAge:     now.Sub(s.SentAt),
 		Age:         now.Sub(s.At),
 	}
+	if len(s.Depths) > 0 {
+		depths := maps.Clone(e.Depths)
+		if depths == nil {
+			depths = make(map[string]int)
+		}
+		for i, section := range s.Sections {
+			depths[section] = max(depths[section], s.depth(i))
+		}
+		e.Depths = depths
+	}
 	if s.Begun {
 		e.BegunStrikes = append(slices.Clip(e.BegunStrikes), report)
 	} else {
@@ -94,14 +107,26 @@
 func (e Evidence) ReceivedStrikes(now time.Time) []Strike {
 	var strikes []Strike
 	for _, report := range e.Strikes {
-		strikes = append(strikes, report.strike(now, false))
+		strikes = append(strikes, report.strike(now, false).WithDepths(e.depths(report.Sections)))
 	}
 	for _, report := range e.BegunStrikes {
-		strikes = append(strikes, report.strike(now, true))
+		strikes = append(strikes, report.strike(now, true).WithDepths(e.depths(report.Sections)))
 	}
 	return strikes
 }
 
+// depths returns the positions of the sections of a strike, or nil if none is listed.
+func (e Evidence) depths(sections []string) []int {
+	if len(e.Depths) == 0 {
+		return nil
+	}
+	depths := make([]int, len(sections))
+	for i, section := range sections {
+		depths[i] = max(i, e.Depths[section])
+	}
+	return depths
+}
+
 func (r StrikeReport) strike(now time.Time, begun bool) Strike {
 	return Strike{
 		Incarnation: Incarnation{
--- a/internal/quarantine/suspicion.go
+++ b/internal/quarantine/suspicion.go
@@ -51,6 +51,17 @@
 // count returns the number of consecutive strikes.
 func (s *suspicion) count() int { return len(s.consecutive()) }
 
+// countUntil returns the number of consecutive strikes until a time.
+func (s *suspicion) countUntil(until time.Time) int {
+	count := 0
+	for _, i := range s.consecutive() {
+		if !s.strikes[i].at.After(until) {
+			count++
+		}
+	}
+	return count
+}
+
 // consecutive returns the indices of the strikes that count: each is of a request sent once the one before had broken off, and
 // broke off later itself, so that one fault of many runners or connections counts once.
 func (s *suspicion) consecutive() []int {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -67,14 +67,14 @@
 			continue
 		}
 		suspected.expire(now)
-		if (suspected.count() >= d.threshold(s.section) || d.overwhelming(s, now)) && (!found || d.likelier(s, best)) {
+		if (suspected.count() >= d.threshold(s.section) || d.overwhelming(s, now)) && (!found || d.likelier(s, best, now)) {
 			best, found = s, true
 		}
 	}
 	if !found || d.onParole(best.section) || d.overwhelming(best, now) {
 		return best, found
 	}
-	return best, !d.hasRival(best)
+	return best, !d.hasRival(best, now)
 }
 
 // overwhelming reports whether the evidence against a suspect suffices although another one may be as likely: enough consecutive
@@ -86,7 +86,7 @@
 	if count >= decideStrikes {
 		return true
 	}
-	return count >= suspectStrikes && d.crashCount(s) >= decideStrikes &&
+	return count >= suspectStrikes && d.crashCount(s, now) >= decideStrikes &&
 		now.Sub(suspected.strikes[len(suspected.strikes)-1].at) >= decideDelay
 }
 
@@ -104,16 +104,18 @@
 }
 
 // likelier reports whether a rather than b crashes runners: a former convict, the section pending at more crashes, or with
-// more consecutive strikes, or else the one that is later in the prompt, as fewer sound requests share it.
-func (d *Detector) likelier(a, b suspect) bool {
+// more consecutive strikes, or else the one that is later in the prompt, as fewer sound requests share it. Crashes whose strikes may
+// not all have arrived don't count in that.
+func (d *Detector) likelier(a, b suspect, now time.Time) bool {
+	settled := now.Add(-timingError)
 	x, y := d.suspicions[a], d.suspicions[b]
 	if paroled := d.onParole(a.section); paroled != d.onParole(b.section) {
 		return paroled
 	}
-	if m, n := d.crashCount(a), d.crashCount(b); m != n {
+	if m, n := d.crashCount(a, settled), d.crashCount(b, settled); m != n {
 		return m > n
 	}
-	if m, n := x.count(), y.count(); m != n {
+	if m, n := x.countUntil(settled), y.countUntil(settled); m != n {
 		return m > n
 	}
 	if x.depth != y.depth {
@@ -127,10 +129,10 @@
 
 // hasRival reports whether another section was pending at most of a suspect's crashes and at almost as many in all. An answer
 // that clears one of the two may still be on its way.
-func (d *Detector) hasRival(s suspect) bool {
-	crashes, strikes := d.crashCount(s), d.suspicions[s].strikes
+func (d *Detector) hasRival(s suspect, now time.Time) bool {
+	crashes, strikes := d.crashCount(s, now), d.suspicions[s].strikes
 	for other, rival := range d.suspicions {
-		if other.section == s.section || d.Convicted(other.section) || rival.count() < suspectStrikes || d.crashCount(other)+clearLead <= crashes {
+		if other.section == s.section || d.Convicted(other.section) || rival.count() < suspectStrikes || d.crashCount(other, now)+clearLead <= crashes {
 			continue
 		}
 		shared := 0
@@ -146,11 +148,11 @@
 	return false
 }
 
-// crashCount returns the number of crashes at which a suspect was pending, without those before it was known to be sound.
-func (d *Detector) crashCount(s suspect) int {
+// crashCount returns the number of crashes until a time at which a suspect was pending, without those before it was known to be sound.
+func (d *Detector) crashCount(s suspect, until time.Time) int {
 	count := 0
-	for incarnation := range d.crashes {
-		if d.pendingAt(s, incarnation) {
+	for incarnation, c := range d.crashes {
+		if !c.at.After(until) && d.pendingAt(s, incarnation) {
 			count++
 		}
 	}
