orderlease: keep fencing tokens unique after the store is restored

Cause: a token was the offset of the claim, plus one, and an offset was taken to be unique for all time. A store that comes back from a copy gives offsets out again, and states that by a later era, which nobody read. Read positions beyond the end of the copy never went back either, so that VMs that went on running had no holder until they were restarted, and read and appended without a pause meanwhile.

With a real VM and the stand-in of the store, the order after the restored copy had the token of the one before ("1" is not greater than "1").

Change: logservice.Position is an offset in an era. The adapter compares the era of each response in one place; a read at a position of an earlier era and an append that was answered in a later one fail with EraChangedError. In a new era the stream is read anew, and no VM claims the lease for a term, whatever the copy says, because a tenure whose records it lacks may still run; only the VM whose tenure the era ended claims at once. Records state their era, and one of an earlier era than a record before it has no effect. The registrations and the configuration are read whole in a new era; runners that the copy lacks are kept for two seconds. A stream that ends before what is known is an error with a pause.

Fixtures of other tests state positions in place of offsets; the stand-in of the store states its era.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowsliparch/cowsliparch/internal/cluster"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -152,10 +153,14 @@
 	require.Eventually(t, p.other.check(func(v *fakeVM) bool { return len(v.receivedRunners) == 1 }), waitTimeout, pollInterval)
 }
 
-func TestHeartbeatCarriesLeaseOffset(t *testing.T) {
+func TestHeartbeatCarriesLeasePosition(t *testing.T) {
 	p := newPair(t)
-	p.holder.update(func(v *fakeVM) { v.leaseOffset = 12 })
-	require.Eventually(t, p.other.check(func(v *fakeVM) bool { return v.holderOffset == 12 }), waitTimeout, pollInterval)
+	position := logservice.Position{
+		Era:    2,
+		Offset: 12,
+	}
+	p.holder.update(func(v *fakeVM) { v.leasePosition = position })
+	require.Eventually(t, p.other.check(func(v *fakeVM) bool { return v.holderPosition == position }), waitTimeout, pollInterval)
 }
 
 func TestResignationReachesLinkedVM(t *testing.T) {
--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -25,7 +25,7 @@
 	receivedRequests []orders.RequestRate
 	compressedSent   int
 	resignedFence    uint64
-	leaseOffset      logservice.Offset
+	leasePosition    logservice.Position
 	rates            []orders.Rate
 
 	receivedDemand        map[string][]orders.Rate
@@ -33,7 +33,7 @@
 	receivedHoldings      []orders.Holding
 	receivedRunners       []roster.Runner
 	receivedChanges       []roster.Change
-	holderOffset          logservice.Offset
+	holderPosition        logservice.Position
 	holderResignedFence   uint64
 	receivedConfiguration []byte
 	occupancy             roster.Occupancy
@@ -69,14 +69,14 @@
 	return v.holder, v.holder != ""
 }
 
-func (v *fakeVM) LeaseStatus() (logservice.Offset, uint64) {
+func (v *fakeVM) LeaseStatus() (logservice.Position, uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.leaseOffset, v.resignedFence
+	return v.leasePosition, v.resignedFence
 }
 func (v *fakeVM) HeldFence() uint64 { return 5 }
-func (v *fakeVM) HolderHeartbeat(next logservice.Offset, _ uint64) {
-	v.update(func(v *fakeVM) { v.holderOffset = next })
+func (v *fakeVM) HolderHeartbeat(next logservice.Position, _ uint64) {
+	v.update(func(v *fakeVM) { v.holderPosition = next })
 }
 func (v *fakeVM) HolderResigned(fence uint64) {
 	v.update(func(v *fakeVM) { v.holderResignedFence = fence })
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -96,8 +96,9 @@
 	StoreUnavailable bool `cbor:"StoreOut,omitempty"`
 	// Fence is the fencing token of the lease that the sender holds, 0 if it holds none.
 	Fence uint64 `cbor:",omitempty"`
-	// LeaseOffset is how far the sender has read the lease stream.
+	// LeaseOffset is how far the sender has read the lease stream, and LeaseEra the era of that offset.
 	LeaseOffset logservice.Offset `cbor:"Lease"`
+	LeaseEra    logservice.Era    `cbor:"Era,omitempty"`
 	// ResignedFence is the fencing token of a lease that the sender gave up without being able to record the release.
 	ResignedFence uint64 `cbor:"Resigned,omitempty"`
 }
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -141,14 +141,15 @@
 }
 
 func (h *Hub) heartbeat() *heartbeat {
-	offset, resigned := h.local.LeaseStatus()
+	next, resigned := h.local.LeaseStatus()
 	return &heartbeat{
 		HoldsLease:       h.local.HoldsLease(),
 		Fence:            h.local.HeldFence(),
 		Version:          h.local.ConfigurationVersion(),
 		StoreUnavailable: h.local.StoreUnavailable() || h.local.ReadsOverdue(),
 		MemberCount:      h.MemberCount(),
-		LeaseOffset:      offset,
+		LeaseOffset:      next.Offset,
+		LeaseEra:         next.Era,
 		ResignedFence:    resigned,
 	}
 }
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -16,12 +16,12 @@
 	// HolderAddress returns the lease holder's peer address, and false when the holder is unknown or this VM itself.
 	HolderAddress() (string, bool)
 	// LeaseStatus returns how far this VM has read the lease stream, and the fencing token of a lease that it gave up.
-	LeaseStatus() (next logservice.Offset, resignedFence uint64)
+	LeaseStatus() (next logservice.Position, resignedFence uint64)
 	// HeldFence returns the fencing token of the lease that this VM holds, or 0.
 	HeldFence() uint64
 	// HolderHeartbeat handles a heartbeat of the lease holder, which has read the lease stream up to next; fence is its fencing
 	// token, 0 if the holder does not tell.
-	HolderHeartbeat(next logservice.Offset, fence uint64)
+	HolderHeartbeat(next logservice.Position, fence uint64)
 	// HolderResigned handles the message that the holder gave up the lease with this fencing token.
 	HolderResigned(fence uint64)
 	// ConfigurationVersion returns the version of the active configuration.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -14,6 +14,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/framelink"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
 	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
@@ -290,7 +291,10 @@
 	}
 	s.mu.Unlock()
 	if beat.HoldsLease {
-		s.local.HolderHeartbeat(beat.LeaseOffset, beat.Fence)
+		s.local.HolderHeartbeat(logservice.Position{
+			Era:    beat.LeaseEra,
+			Offset: beat.LeaseOffset,
+		}, beat.Fence)
 	}
 	requestNewerConfiguration(link, s.local, beat.Version)
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -13,6 +13,7 @@
 	LogUnreachable        = Event{Number: 1102, Name: "LogUnreachable", Level: slog.LevelWarn, Meaning: "The log service did not respond; the state read last stays in effect.", Action: "Check the platform's log service; calls are still served."}
 	LogReachable          = Event{Number: 1103, Name: "LogReachable", Level: slog.LevelInfo, Meaning: "The log service responds again.", Action: "None."}
 	LogGap                = Event{Number: 1104, Name: "LogGap", Level: slog.LevelError, Meaning: "Records expired from the log before this process had read them.", Action: "The process continues from the next snapshot; increase the log's retention if it repeats."}
+	LogRestored           = Event{Number: 1105, Name: "LogRestored", Level: slog.LevelWarn, Meaning: "The log service came back from an older copy, which has lost its newest records; what was read from it is read anew.", Action: "None; see the section on restored copies in OPERATIONS.md."}
 	ConfigurationInForce  = Event{Number: 1201, Name: "ConfigurationInForce", Level: slog.LevelInfo, Meaning: "A newer configuration version is in effect on this VM.", Action: "None."}
 	ConfigurationConflict = Event{Number: 1202, Name: "ConfigurationConflict", Level: slog.LevelInfo, Meaning: "A change was based on a version that is no longer in effect.", Action: "Read the current version and publish again."}
 	ConfigurationFromPeer = Event{Number: 1203, Name: "ConfigurationFromPeer", Level: slog.LevelInfo, Meaning: "A newer configuration was received from a peer.", Action: "None."}
@@ -70,7 +71,7 @@
 func Catalogue() []Event {
 	return []Event{
 		EntryStarted, EntryStopping, EntryStopped, EntryReady, StopDeadlinePassed,
-		RecordSkipped, LogUnreachable, LogReachable, LogGap,
+		RecordSkipped, LogUnreachable, LogReachable, LogGap, LogRestored,
 		ConfigurationInForce, ConfigurationConflict, ConfigurationFromPeer, SnapshotAppended,
 		LeaseAcquired, LeaseLost, LeaseReleased, LeaseSeen,
 		OrderSent, OrderSettled, OrderUnanswered, ReservationStuck, OrderWithheld,
--- a/internal/logservice/conditional.go
+++ b/internal/logservice/conditional.go
@@ -9,13 +9,14 @@
 // ConditionalLog is a log whose append only succeeds at the expected offset, so that only the first of several concurrent
 // writers wins.
 type ConditionalLog interface {
-	// AppendAt appends a record if the stream ends at the given offset. It fails with EndMismatchError if the stream ends at
+	// AppendAt appends a record if the stream ends at the given position. It fails with EndMismatchError if the stream ends at
 	// another offset, with UnavailableError if the record was definitely not appended, and with ResponseLostError if it may
-	// have been.
-	AppendAt(ctx context.Context, stream string, at Offset, payload []byte) error
-	// Read returns records starting at an offset and waits up to wait for the first one. If First of the page is greater than
-	// the offset, the records in between are no longer retained.
-	Read(ctx context.Context, stream string, from Offset, wait time.Duration) (Page, error)
+	// have been. It fails with EraChangedError if the response is of a later era; the record may have been appended in it.
+	AppendAt(ctx context.Context, stream string, at Position, payload []byte) error
+	// Read returns records starting at a position and waits up to wait for the first one. If First of the page is greater than
+	// the offset, the records in between are no longer retained. It fails with EraChangedError if the response is of a later era,
+	// unless it was read from offset 0.
+	Read(ctx context.Context, stream string, from Position, wait time.Duration) (Page, error)
 }
 
 // EndMismatchError reports that a stream did not end at the offset that an append expected.
--- a/internal/logservice/page.go
+++ b/internal/logservice/page.go
@@ -7,6 +7,8 @@
 	First Offset
 	// Next is the offset at which the next page starts.
 	Next Offset
+	// Era is the era of the offsets.
+	Era Era
 	// End is the offset after the newest record, or 0 if the reader did not learn it.
 	End Offset
 }
--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -60,9 +60,9 @@
 	logger    *slog.Logger
 
 	mu sync.Mutex
-	// nextOffset is the offset that follows the newest known record.
-	nextOffset logservice.Offset
-	newest     Record
+	// next is the position that follows the newest known record.
+	next   logservice.Position
+	newest Record
 	// newestFence is the fencing token of the newest tenure.
 	newestFence uint64
 	// newestSeenAt is when the newest record was first seen here; like all times here, it is the time since the VM booted.
@@ -85,6 +85,13 @@
 	peerResignedFence uint64
 	// stopped is set once this VM has released the lease for good.
 	stopped bool
+	// validEra is the earliest era whose records have an effect here.
+	validEra logservice.Era
+	// eraFreeAt is when every tenure of earlier eras has ended, also those of which the log has lost all records; 0 once a record of
+	// the present era shows that.
+	eraFreeAt time.Duration
+	// continuedUntil is when this VM's tenure would have ended, had a new era not ended it; until then no other VM holds the lease.
+	continuedUntil time.Duration
 	// backoffUntil is the time until which this VM leaves the lease to others.
 	backoffUntil time.Duration
 	// cancelRead ends the newest read that waits for a record.
@@ -128,17 +135,25 @@
 	return l.newest.VMs
 }
 
-// HolderSeen records that the holder sent a message over its link, up to which offset it has read the stream, and its fencing token,
+// HolderSeen records that the holder sent a message over its link, up to which position it has read the stream, and its fencing token,
 // 0 if it does not tell. This VM need not read those records: it counts the term of the newest one from the arrival of the message,
-// which is later than the record.
-func (l *Lease) HolderSeen(next logservice.Offset, fence uint64) {
+// which is later than the record. A message of an earlier era has no effect: its sender has not noticed yet that its tenure is over.
+func (l *Lease) HolderSeen(next logservice.Position, fence uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if next.Era == 0 {
+		// Holders of an older release do not tell the era.
+		next.Era = l.next.Era
+	}
+	if next.Era < l.next.Era {
+		return
+	}
+	l.enterEra(next.Era)
 	l.lastContact = l.bootClock.Elapsed()
-	if next <= l.nextOffset {
+	if next.Offset <= l.next.Offset {
 		return
 	}
-	l.nextOffset = next
+	l.next = next
 	l.newestSeenAt = l.lastContact
 	// Without the records, an earlier resignation could be taken for one of the newest tenure.
 	l.newestFence = max(l.newestFence, fence)
@@ -154,11 +169,11 @@
 	return l.bootClock.Elapsed()-l.lastContact < contactTimeout
 }
 
-// ReadOffset returns the offset up to which the stream was read, and the fencing token of a tenure that this VM gave up.
-func (l *Lease) ReadOffset() (next logservice.Offset, resigned uint64) {
+// ReadPosition returns the position up to which the stream was read, and the fencing token of a tenure that this VM gave up.
+func (l *Lease) ReadPosition() (next logservice.Position, resigned uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.nextOffset, l.resignedFence
+	return l.next, l.resignedFence
 }
 
 // HolderResigned records that the holder gave up a tenure and sends no more orders with its fencing token.
--- a/internal/orderlease/lease_test.go
+++ b/internal/orderlease/lease_test.go
@@ -29,6 +29,8 @@
 	mu      sync.Mutex
 	records []logservice.Record
 	first   logservice.Offset
+	// era is 0 while the log states none.
+	era logservice.Era
 	// appended is closed and replaced at each append.
 	appended chan struct{}
 	// reads and appends count the calls.
@@ -66,7 +68,7 @@
 	c.down, c.dropResponses = down, dropResponses
 }
 
-func (c *logClient) AppendAt(_ context.Context, name string, at logservice.Offset, payload []byte) error {
+func (c *logClient) AppendAt(_ context.Context, name string, at logservice.Position, payload []byte) error {
 	down, dropResponses := c.faults()
 	if down {
 		return &logservice.UnavailableError{Stream: name, Cause: errDown}
@@ -74,19 +76,25 @@
 	c.stream.mu.Lock()
 	defer c.stream.mu.Unlock()
 	c.stream.appends++
-	if at != c.stream.end() {
+	if at.Offset != c.stream.end() {
+		if at.Era != c.stream.era {
+			return &logservice.EraChangedError{Stream: name, Era: c.stream.era}
+		}
 		return &logservice.EndMismatchError{Stream: name, End: c.stream.end()}
 	}
-	c.stream.records = append(c.stream.records, logservice.Record{Offset: at, Payload: payload})
+	c.stream.records = append(c.stream.records, logservice.Record{Offset: at.Offset, Payload: payload})
 	close(c.stream.appended)
 	c.stream.appended = make(chan struct{})
 	if dropResponses {
 		return &logservice.ResponseLostError{Stream: name, Cause: errDown}
 	}
+	if at.Era != c.stream.era {
+		return &logservice.EraChangedError{Stream: name, Era: c.stream.era}
+	}
 	return nil
 }
 
-func (c *logClient) Read(ctx context.Context, name string, from logservice.Offset, wait time.Duration) (logservice.Page, error) {
+func (c *logClient) Read(ctx context.Context, name string, from logservice.Position, wait time.Duration) (logservice.Page, error) {
 	if down, _ := c.faults(); down {
 		return logservice.Page{}, &logservice.UnavailableError{Stream: name, Cause: errDown}
 	}
@@ -94,7 +102,10 @@
 	c.stream.reads++
 	appended := c.stream.appended
 	c.stream.mu.Unlock()
-	page := c.page(from)
+	page, err := c.page(name, from)
+	if err != nil {
+		return page, err
+	}
 	if len(page.Records) == 0 && wait > 0 {
 		timer := c.clock.NewTimer(wait)
 		defer timer.Stop()
@@ -104,25 +115,29 @@
 		case <-timer.Chan():
 		case <-appended:
 		}
-		page = c.page(from)
+		return c.page(name, from)
 	}
 	return page, nil
 }
 
-func (c *logClient) page(from logservice.Offset) logservice.Page {
+func (c *logClient) page(name string, from logservice.Position) (logservice.Page, error) {
 	c.stream.mu.Lock()
 	defer c.stream.mu.Unlock()
-	page := logservice.Page{First: c.stream.first, Next: max(from, c.stream.first), End: c.stream.end()}
-	if from < c.stream.first {
-		return page
+	if from.Offset > 0 && from.Era != c.stream.era {
+		return logservice.Page{}, &logservice.EraChangedError{Stream: name, Era: c.stream.era}
 	}
+	if from.Offset < c.stream.first || from.Offset > c.stream.end() {
+		// The records from there on are gone.
+		return logservice.Page{First: c.stream.first, Next: c.stream.first, Era: c.stream.era}, nil
+	}
+	page := logservice.Page{First: c.stream.first, Next: from.Offset, Era: c.stream.era, End: c.stream.end()}
 	for _, r := range c.stream.records {
-		if r.Offset >= from {
+		if r.Offset >= from.Offset {
 			page.Records = append(page.Records, r)
 			page.Next = r.Offset + 1
 		}
 	}
-	return page
+	return page, nil
 }
 
 // fakeBootClock is a boot-time clock that can advance while timers are suspended.
@@ -332,7 +347,7 @@
 		}
 	})
 	require.Zero(t, fence(f.vms[0]))
-	_, resigned := f.vms[0].lease.ReadOffset()
+	_, resigned := f.vms[0].lease.ReadPosition()
 	started := f.clock.Now()
 	f.vms[1].lease.HolderResigned(resigned)
 	f.advanceUntil(t, func() bool { return fence(f.vms[1]) > 0 })
@@ -411,10 +426,10 @@
 	f.advanceUntil(t, func() bool { return fence(f.vms[0]) > 0 })
 	f.start(t, f.vms[1])
 	f.advanceUntil(t, func() bool { _, ok := f.vms[1].lease.Holder(); return ok })
-	next, _ := f.vms[0].lease.ReadOffset()
+	next, _ := f.vms[0].lease.ReadPosition()
 	f.vms[1].lease.HolderSeen(next, fence(f.vms[0]))
 	require.True(t, f.vms[1].lease.HolderSeenRecently())
-	position, _ := f.vms[1].lease.ReadOffset()
+	position, _ := f.vms[1].lease.ReadPosition()
 	require.Equal(t, next, position)
 }
 
@@ -471,7 +486,7 @@
 	f.advanceUntil(t, func() bool { _, known := f.vms[1].lease.Holder(); return known })
 	before, _ := f.stream.counts()
 	for started := f.clock.Now(); f.clock.Since(started) < 10*time.Second; {
-		next, _ := f.vms[0].lease.ReadOffset()
+		next, _ := f.vms[0].lease.ReadPosition()
 		f.vms[1].lease.HolderSeen(next, fence(f.vms[0]))
 		until := f.clock.Now().Add(500 * time.Millisecond)
 		f.advanceUntil(t, func() bool { return !f.clock.Now().Before(until) })
@@ -487,7 +502,7 @@
 	f.advanceUntil(t, func() bool { return f.holds(0) })
 	f.start(t, f.vms[1])
 	f.advanceUntil(t, func() bool { _, known := f.vms[1].lease.Holder(); return known })
-	next, _ := f.vms[0].lease.ReadOffset()
+	next, _ := f.vms[0].lease.ReadPosition()
 	f.vms[1].lease.HolderSeen(next, fence(f.vms[0]))
 	f.vms[0].lease.Release(t.Context())
 	select {
@@ -495,7 +510,7 @@
 	default:
 		require.Fail(t, "the release was not announced")
 	}
-	_, resigned := f.vms[0].lease.ReadOffset()
+	_, resigned := f.vms[0].lease.ReadPosition()
 	released := f.clock.Now()
 	f.vms[1].lease.HolderResigned(resigned)
 	f.advanceUntil(t, func() bool { return f.holds(1) })
@@ -517,7 +532,7 @@
 			stop()
 			f.start(t, f.vms[1])
 			f.advanceUntil(t, func() bool { return f.holds(1) })
-			next, _ := f.vms[1].lease.ReadOffset()
+			next, _ := f.vms[1].lease.ReadPosition()
 			told := uint64(0)
 			if tellsFence {
 				told = fence(f.vms[1])
--- a/internal/orderlease/watch.go
+++ b/internal/orderlease/watch.go
@@ -105,7 +105,7 @@
 		pause.For(ctx, l.clock, watchInterval)
 		return
 	}
-	known := l.readOffset()
+	known := l.readPosition()
 	readCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l.setCancelRead(cancel)
@@ -113,7 +113,7 @@
 		pause.For(ctx, l.clock, watchInterval+rand.N(watchInterval))
 		return
 	}
-	if l.readOffset() == known && l.claimable() {
+	if l.readPosition() == known && l.claimable() {
 		l.claim(ctx)
 	}
 }
@@ -135,10 +135,10 @@
 	l.cancelRead = cancel
 }
 
-func (l *Lease) readOffset() logservice.Offset {
+func (l *Lease) readPosition() logservice.Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.nextOffset
+	return l.next
 }
 
 // timeToClaim returns how long from now this VM may claim the lease unless a record arrives before.
@@ -147,8 +147,11 @@
 	defer l.mu.Unlock()
 	now := l.bootClock.Elapsed()
 	wait := max(l.backoffUntil-now, 0)
+	if now < l.continuedUntil {
+		return min(wait, maxReadWait)
+	}
 	if !l.free() {
-		wait = max(wait, l.newestSeenAt+l.options.Term-now)
+		wait = max(wait, l.newestSeenAt+l.options.Term-now, l.eraFreeAt-now)
 	}
 	if !l.hasRecord {
 		wait = max(wait, minReadWait)
@@ -168,7 +171,11 @@
 
 // free reports whether no VM can hold the lease any more; the caller holds the lock.
 func (l *Lease) free() bool {
-	return !l.hasRecord || l.newest.Released || l.bootClock.Elapsed()-l.newestSeenAt > l.options.Term || l.resignedByHolder() || l.heldByFormerRun()
+	now := l.bootClock.Elapsed()
+	if now < l.eraFreeAt {
+		return now < l.continuedUntil
+	}
+	return !l.hasRecord || l.newest.Released || now-l.newestSeenAt > l.options.Term || l.resignedByHolder() || l.heldByFormerRun()
 }
 
 // heldByFormerRun reports whether the newest record is from an earlier run of this process. That run listened on the address
@@ -186,7 +193,7 @@
 	sent, err := l.appendRecord(ctx, 0, false)
 	if err != nil {
 		var mismatch *logservice.EndMismatchError
-		if !errors.As(err, &mismatch) {
+		if !errors.As(err, &mismatch) || mismatch.End <= l.readPosition().Offset {
 			pause.For(ctx, l.clock, watchInterval)
 		}
 		return
--- a/internal/registry/cursor.go
+++ b/internal/registry/cursor.go
@@ -15,9 +15,9 @@
 // cursor is a watch loop's position in a topic of the store; it also backs off after failed reads.
 type cursor struct {
 	watcher *Watcher
-	// synced is false until the whole topic has been read; next is the offset of the next read.
+	// synced is false until the whole topic has been read; next is the position of the next read.
 	synced   bool
-	next     logservice.Offset
+	next     logservice.Position
 	backoff  time.Duration
 	failures int
 }
@@ -36,8 +36,16 @@
 	return maxStartBackoff
 }
 
+// restored reports whether the store was restored from a copy between the last read and one that ended at the next position.
+func (c *cursor) restored(next logservice.Position) bool {
+	return c.next.Era != 0 && next.Era > c.next.Era
+}
+
 // succeeded records a successful read.
-func (c *cursor) succeeded(next logservice.Offset) {
+func (c *cursor) succeeded(next logservice.Position) {
+	if c.restored(next) {
+		event.LogRestored.Log(c.watcher.logger, slog.Uint64("Era", uint64(next.Era)))
+	}
 	if c.failures > 0 {
 		event.LogReachable.Log(c.watcher.logger, slog.Int("Failures", c.failures))
 	}
@@ -46,11 +54,12 @@
 	c.backoff = minBackoff
 }
 
-// failed handles a failed read. If the records at the cursor's offset have expired, the whole topic is read again at once;
-// otherwise it waits for the backoff.
+// failed handles a failed read. If the records at the cursor's position have expired, or the store was restored from a copy, the
+// whole topic is read again at once; otherwise it waits for the backoff.
 func (c *cursor) failed(ctx context.Context, err error) {
 	var expired *logservice.ExpiredError
-	if errors.As(err, &expired) {
+	var changed *logservice.EraChangedError
+	if errors.As(err, &expired) || errors.As(err, &changed) {
 		c.synced = false
 		return
 	}
--- a/internal/registry/runners.go
+++ b/internal/registry/runners.go
@@ -24,6 +24,10 @@
 			continue
 		}
 		incremental := c.synced
+		if c.restored(read.Next) {
+			// Registrations that the copy lacks are renewed soon, as after an outage.
+			w.roster.SetStoreUnavailable(true, w.clock.Now())
+		}
 		c.succeeded(read.Next)
 		w.recordRead(&w.runnersReadAt)
 		w.setStoreUnavailable(false)
--- a/internal/registry/source.go
+++ b/internal/registry/source.go
@@ -22,29 +22,30 @@
 	Catalog *catalog.Catalog
 	// Encoded is the configuration as stored, for peers that can't read the store.
 	Encoded []byte
-	// Next is the offset of the next read.
-	Next    logservice.Offset
+	// Next is the position of the next read.
+	Next    logservice.Position
 	Skipped []SkippedRecord
 }
 
 // Runners is the result of reading the runner registrations.
 type Runners struct {
 	Changes []roster.Change
-	Next    logservice.Offset
+	Next    logservice.Position
 	Skipped []SkippedRecord
 }
 
 // Source reads the platform's store. Every read fails with logservice.UnavailableError if the store does not answer, and the
-// reads from an offset also with logservice.ExpiredError if the records at that offset are gone.
+// reads from a position also with logservice.ExpiredError if the records at that position are gone, and with
+// logservice.EraChangedError if the store was restored from a copy since.
 type Source interface {
 	// Configuration returns the newest configuration.
 	Configuration(ctx context.Context) (Configuration, error)
-	// ConfigurationAfter returns the newest configuration from an offset on, waiting up to wait for one.
-	ConfigurationAfter(ctx context.Context, from logservice.Offset, wait time.Duration) (Configuration, error)
+	// ConfigurationAfter returns the newest configuration from a position on, waiting up to wait for one.
+	ConfigurationAfter(ctx context.Context, from logservice.Position, wait time.Duration) (Configuration, error)
 	// DecodeConfiguration decodes a configuration as stored.
 	DecodeConfiguration(encoded []byte) (*catalog.Catalog, error)
 	// Runners returns all registrations.
 	Runners(ctx context.Context) (Runners, error)
-	// RunnersAfter returns the changes of registrations from an offset on, waiting up to wait for one.
-	RunnersAfter(ctx context.Context, from logservice.Offset, wait time.Duration) (Runners, error)
+	// RunnersAfter returns the changes of registrations from a position on, waiting up to wait for one.
+	RunnersAfter(ctx context.Context, from logservice.Position, wait time.Duration) (Runners, error)
 }
--- a/internal/registry/watcher_test.go
+++ b/internal/registry/watcher_test.go
@@ -27,6 +27,7 @@
 // fakeSource simulates the store.
 type fakeSource struct {
 	mu                 sync.Mutex
+	era                logservice.Era
 	version            uint64
 	down               bool
 	expired            bool
@@ -58,11 +59,11 @@
 	return registry.Configuration{
 		Catalog: catalog.New(s.version, catalog.Limits{}, nil, nil),
 		Encoded: []byte{byte(s.version)},
-		Next:    logservice.Offset(s.version),
+		Next:    logservice.Position{Era: s.era, Offset: logservice.Offset(s.version)},
 	}
 }
 
-func (s *fakeSource) ConfigurationAfter(ctx context.Context, from logservice.Offset, wait time.Duration) (registry.Configuration, error) {
+func (s *fakeSource) ConfigurationAfter(ctx context.Context, from logservice.Position, wait time.Duration) (registry.Configuration, error) {
 	s.mu.Lock()
 	s.waits = append(s.waits, wait)
 	hang := s.hang
@@ -78,8 +79,10 @@
 		return registry.Configuration{}, errDown
 	case s.expired:
 		s.expired = false
-		return registry.Configuration{}, &logservice.ExpiredError{From: from}
-	case uint64(from) == s.version:
+		return registry.Configuration{}, &logservice.ExpiredError{From: from.Offset}
+	case from.Era != s.era:
+		return registry.Configuration{}, &logservice.EraChangedError{Era: s.era}
+	case uint64(from.Offset) == s.version:
 		return registry.Configuration{Next: from}, nil
 	}
 	return s.configuration(), nil
@@ -99,10 +102,10 @@
 	if s.down {
 		return registry.Runners{}, errDown
 	}
-	return registry.Runners{Changes: s.changes, Skipped: s.skipped}, nil
+	return registry.Runners{Changes: s.changes, Skipped: s.skipped, Next: logservice.Position{Era: s.era}}, nil
 }
 
-func (s *fakeSource) RunnersAfter(_ context.Context, from logservice.Offset, _ time.Duration) (registry.Runners, error) {
+func (s *fakeSource) RunnersAfter(_ context.Context, from logservice.Position, _ time.Duration) (registry.Runners, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -111,10 +114,13 @@
 	}
 	if s.expired {
 		s.expired = false
-		return registry.Runners{}, &logservice.ExpiredError{From: from}
+		return registry.Runners{}, &logservice.ExpiredError{From: from.Offset}
+	}
+	if from.Era != s.era {
+		return registry.Runners{}, &logservice.EraChangedError{Era: s.era}
 	}
 	s.incrementalReads++
-	result := registry.Runners{Changes: s.changes, Next: from + 1}
+	result := registry.Runners{Changes: s.changes, Next: from.WithOffset(from.Offset + 1)}
 	s.changes = nil
 	return result, nil
 }
--- a/internal/serving/localvm.go
+++ b/internal/serving/localvm.go
@@ -31,8 +31,8 @@
 }
 
 // LeaseStatus implements cluster.LocalVM.
-func (s *Server) LeaseStatus() (next logservice.Offset, resignedFence uint64) {
-	return s.lease.ReadOffset()
+func (s *Server) LeaseStatus() (next logservice.Position, resignedFence uint64) {
+	return s.lease.ReadPosition()
 }
 
 // HeldFence implements cluster.LocalVM.
@@ -42,7 +42,7 @@
 }
 
 // HolderHeartbeat implements cluster.LocalVM.
-func (s *Server) HolderHeartbeat(next logservice.Offset, fence uint64) {
+func (s *Server) HolderHeartbeat(next logservice.Position, fence uint64) {
 	s.lease.HolderSeen(next, fence)
 }
 
--- a/internal/serving/quota_test.go
+++ b/internal/serving/quota_test.go
@@ -23,21 +23,21 @@
 	records []logservice.Record
 }
 
-func (l *memoryLog) AppendAt(_ context.Context, name string, at logservice.Offset, payload []byte) error {
+func (l *memoryLog) AppendAt(_ context.Context, name string, at logservice.Position, payload []byte) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if end := logservice.Offset(len(l.records)); at != end {
+	if end := logservice.Offset(len(l.records)); at.Offset != end {
 		return &logservice.EndMismatchError{Stream: name, End: end}
 	}
-	l.records = append(l.records, logservice.Record{Offset: at, Payload: payload})
+	l.records = append(l.records, logservice.Record{Offset: at.Offset, Payload: payload})
 	return nil
 }
 
-func (l *memoryLog) Read(_ context.Context, _ string, from logservice.Offset, _ time.Duration) (logservice.Page, error) {
+func (l *memoryLog) Read(_ context.Context, _ string, from logservice.Position, _ time.Duration) (logservice.Page, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	end := logservice.Offset(len(l.records))
-	return logservice.Page{Records: l.records[min(from, end):], Next: end, End: end}, nil
+	return logservice.Page{Records: l.records[min(from.Offset, end):], Next: end, End: end}, nil
 }
 
 // newHolder returns a server that holds the lease, with the given accounts; only its lease runs.
