origin, dispatch: let streams go on only at the release that began them

Callers saw: streams with events of two versions of the runners' software (ORDER).

Cause: the choice of a runner knew nothing of versions, and a VM that did not serve a stream could not know which one began it: a caller names only the request that brought the first event, and the VMs may all have lost power since.

Change: registrations have the release; the first event binds a request to it, and attempts that go on with the stream go there or nowhere. Package origin remembers which release began a stream. While a service has several, and 30 s longer, VMs report their streams over the links, the lease holder appends them to a log stream, and a VM that does not know a stream reads that. A stream of an unknown release, or of one without a runner for it, is refused as not run. With one release, nothing is written, and a VM reads once in its first 30 s. Releases travel beside the registrations on links, whose encoding stays the same. An event (2004), two reasons and three log attributes tell what happens.

A deployment can be started twice in a test.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -16,6 +16,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/cluster"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -178,3 +179,39 @@
 	p.spoke.ReportMissingModel("s", "m", "")
 	require.Len(t, p.other.receivedMissing, 1)
 }
+
+// Releases are not part of the encoded registrations, which VMs of an older build could not decode then.
+func TestReleasesReachLinkedVM(t *testing.T) {
+	p := newPair(t)
+	require.Eventually(t, func() bool { return len(p.hub.Members()) == 2 }, waitTimeout, pollInterval)
+	p.hub.BroadcastChanges([]roster.Change{
+		{ID: "removed"},
+		{ID: "a", Runner: &roster.Runner{ID: "a", Release: "v1"}},
+		{ID: "b", Runner: &roster.Runner{ID: "b"}},
+		{ID: "c", Runner: &roster.Runner{ID: "c", Release: "v2"}},
+		{ID: "d", Runner: &roster.Runner{ID: "d"}},
+	})
+	require.Eventually(t, p.other.check(func(v *fakeVM) bool { return len(v.receivedChanges) == 5 }), waitTimeout, pollInterval)
+	p.other.update(func(v *fakeVM) {
+		releases := make(map[string]string)
+		for _, change := range v.receivedChanges {
+			if change.Runner != nil {
+				releases[change.ID] = change.Runner.Release
+			}
+		}
+		require.Equal(t, map[string]string{"a": "v1", "b": "", "c": "v2", "d": ""}, releases)
+	})
+}
+
+func TestOriginsReachHolder(t *testing.T) {
+	p := newPair(t)
+	batch := origin.Batch{
+		Service: "s",
+		Release: "v1",
+		Keys:    []byte("12345678"),
+	}
+	require.Eventually(t, func() bool { return p.spoke.SendOrigins([]origin.Batch{batch}) }, waitTimeout, pollInterval)
+	require.Eventually(t, p.holder.check(func(v *fakeVM) bool { return len(v.receivedOrigins) > 0 }), waitTimeout, pollInterval)
+	p.holder.update(func(v *fakeVM) { require.Equal(t, batch, v.receivedOrigins[0]) })
+	require.True(t, p.spoke.Linked())
+}
--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -25,6 +26,7 @@
 	receivedRequests []orders.RequestRate
 	compressedSent   int
 	resignedFence    uint64
+	receivedOrigins  []origin.Batch
 	leasePosition    logservice.Position
 	rates            []orders.Rate
 
@@ -141,3 +143,7 @@
 		occupancy:      make(roster.Occupancy),
 	}
 }
+
+func (v *fakeVM) ReceiveOrigins(batches []origin.Batch) {
+	v.update(func(v *fakeVM) { v.receivedOrigins = append(v.receivedOrigins, batches...) })
+}
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/pacing"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/quota"
@@ -21,7 +22,7 @@
 	ReadsMemberCount bool `cbor:"Counted,omitempty"`
 }
 
-// frame is one message on a link. At most one field is set; an empty frame only shows that the sender is alive.
+// frame is one message on a link. At most one field is set, besides Releases; an empty frame only shows that the sender is alive.
 type frame struct {
 	Hello        *Member       `cbor:",omitempty"`
 	Demand       []orders.Rate `cbor:",omitempty"`
@@ -35,6 +36,10 @@
 	Runners                 []roster.Runner `cbor:",omitempty"`
 	// Changes holds single registrations that the lease holder read.
 	Changes []roster.Change `cbor:",omitempty"`
+	// Releases holds the releases of Runners or Changes, in their order; omitted if none states one.
+	Releases []string `cbor:",omitempty"`
+	// Origins names the releases that began streams, for the lease holder to append to the log.
+	Origins []origin.Batch `cbor:",omitempty"`
 	// Usage describes the sender's requests at the runners.
 	Usage *usageReport `cbor:"Account,omitempty"`
 	// Occupancy is the number of requests of all VMs at each runner, sent by the lease holder.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -15,7 +15,6 @@
 	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/quota"
-	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
 const (
@@ -168,6 +167,8 @@
 		_ = s.link.TrySend(frame{Quarantine: &status})
 	case f.Evidence != nil:
 		h.local.ReceiveEvidence(*f.Evidence)
+	case f.Origins != nil:
+		h.local.ReceiveOrigins(f.Origins)
 	case f.MissingModel != nil:
 		h.local.ReceiveMissingModel(f.MissingModel.Service, f.MissingModel.Model, f.MissingModel.Adapter)
 	case f.Request != nil:
@@ -220,16 +221,13 @@
 func (h *Hub) handleRequest(s *session, request *stateRequest) {
 	sendNewerConfiguration(s.link, h.local, request)
 	if request.Runners && !h.local.StoreUnavailable() {
-		_ = s.link.TrySend(frame{Runners: h.local.Runners()})
+		_ = s.link.TrySend(runnersFrame(h.local.Runners()))
 	}
 }
 
 // broadcastHoldings sends updates on what runners hold to every linked VM.
 func (h *Hub) broadcastHoldings(updates []orders.Holding) { h.broadcast(frame{Holdings: updates}) }
 
-// BroadcastChanges sends single registrations that were read from the store to every linked VM.
-func (h *Hub) BroadcastChanges(changes []roster.Change) { h.broadcast(frame{Changes: changes}) }
-
 // BroadcastQuarantine sends every linked VM what is decided here on prompt sections.
 func (h *Hub) BroadcastQuarantine(status quarantine.Status) { h.broadcast(frame{Quarantine: &status}) }
 
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/quota"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
@@ -68,6 +69,8 @@
 	QuarantineStatus() quarantine.Status
 	// ReceiveQuarantineStatus handles what another VM decided on prompt sections.
 	ReceiveQuarantineStatus(s quarantine.Status)
+	// ReceiveOrigins handles the releases that began streams at another VM, which this VM is to append to the log.
+	ReceiveOrigins(batches []origin.Batch)
 	// QuotaReport returns the demand of this VM's client accounts since the last report, or nil if none of them has a quota.
 	QuotaReport() *quota.Report
 	// ReceiveQuotaReport handles the report of a linked VM, nil if it sent none.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -253,9 +253,9 @@
 		sendNewerConfiguration(link, s.local, f.Request)
 	case receiveConfiguration(s.local, f):
 	case f.Runners != nil:
-		s.local.ReceiveRunners(f.Runners)
+		s.local.ReceiveRunners(withReleases(f.Runners, f.Releases))
 	case f.Changes != nil:
-		s.local.ReceiveChanges(f.Changes)
+		s.local.ReceiveChanges(changesWithReleases(f.Changes, f.Releases))
 	case f.Occupancy != nil:
 		s.local.ReceiveOccupancy(f.Occupancy)
 	case f.Requests != nil:
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -64,6 +64,8 @@
 	delivered int
 	// lastEventID is the ID of the last event that the caller has.
 	lastEventID string
+	// release is that of the runners that can go on with the stream, nil if any can.
+	release *string
 	// status and contentType are those that the caller received; a resumed stream keeps those of its first response.
 	status      int
 	contentType string
@@ -117,6 +119,7 @@
 func (c *call) requirements() requirements {
 	needs := requirements{
 		service: c.service.Name,
+		release: c.release,
 		tried:   c.tried,
 		pauses:  c.pauseRequirement(),
 	}
@@ -135,7 +138,7 @@
 	}
 	needs := c.requirements()
 	pick := c.d.Tracker.choose(c.d.Roster(), needs, c.d.Clock.Now())
-	if pick.runner == nil && pick.withModel == 0 && needs.model != "" {
+	if pick.runner == nil && pick.withModel == 0 && needs.model != "" && needs.release == nil {
 		c.d.Demand.RecordMissing(needs.service, needs.model, needs.adapter)
 		if needs.adapter != "" {
 			pick = c.awaitAdapter(ctx, needs)
@@ -188,6 +191,9 @@
 	if c.mayHaveRun {
 		return refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "no runner is left to try").WithRan(refusal.Unknown)
 	}
+	if needs.release != nil && c.pick.staying == 0 {
+		return refusal.New(http.StatusServiceUnavailable, refusal.ReleaseGone, "no runner of the release that began the stream has the model")
+	}
 	refused := refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, "no runner can take the request now")
 	if needs.model != "" && c.pick.withModel == 0 && needs.adapter == "" {
 		return refused.WithRetryAfter(c.retryAfter(c.loadTime(needs.model) + missingModelDelay))
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -48,6 +48,8 @@
 	limit time.Duration
 	// pauses describes how the stream may pause.
 	pauses pauseRequirement
+	// release is the only release of runners that suits, or nil if any does.
+	release *string
 	// tried lists the runners that the request was already sent to.
 	tried []string
 }
@@ -114,7 +116,7 @@
 // consider counts a runner and, if it can take the request, compares it with the others; the caller holds the lock.
 func (t *Tracker) consider(best *choice, runner *roster.Runner, needs requirements, now time.Time, includeBackoff bool) {
 	state := t.runners[runner.ID]
-	if !hasModel(runner, state, needs, now) {
+	if needs.release != nil && runner.Release != *needs.release || !hasModel(runner, state, needs, now) {
 		return
 	}
 	best.withModel++
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,6 +46,8 @@
 	Buffers *buffer.Budget
 	// Guard may be nil; then every prompt may be sent.
 	Guard SectionGuard
+	// Origins may be nil; then a stream goes on at any runner.
+	Origins Origins
 	// Quotas may be nil; then no account has a limit.
 	Quotas QuotaLimiter
 	// Shedding may be empty; then priority and expected wait decide which requests are refused.
@@ -65,6 +67,9 @@
 	if d.Guard == nil {
 		d.Guard = noGuard{}
 	}
+	if d.Origins == nil {
+		d.Origins = noOrigins{}
+	}
 	if d.Quotas == nil {
 		d.Quotas = noQuota{}
 	}
@@ -81,6 +86,9 @@
 		caller:  caller,
 	}
 	refused := c.resolveRoute()
+	if refused == nil {
+		refused = c.findRelease(ctx)
+	}
 	if refused == nil {
 		refused = c.run(ctx)
 		c.returnQuota()
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -52,6 +52,12 @@
 		slog.Int64("LoadAgeMS", c.pick.loadAge.Milliseconds()),
 		slog.Int64("ScoreMS", c.pick.score.Milliseconds()),
 	)
+	if c.request.ResumeAfter != "" {
+		attrs = append(attrs, slog.String("Resumes", c.request.Resumes), slog.String("ResumeAfter", c.request.ResumeAfter))
+	}
+	if c.release != nil {
+		attrs = append(attrs, slog.String("Release", *c.release))
+	}
 	if c.account != nil {
 		attrs = append(attrs, slog.String("Account", c.account.Name))
 	}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -153,6 +153,7 @@
 		c.recordResume(a.pick)
 	}
 	a.begun = true
+	c.bindRelease(a)
 	c.recordWrite(c.d.Clock.Now())
 	if !c.responseStarted {
 		c.responseStarted = true
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -27,7 +27,9 @@
 	PromptSections []PromptSection
 	// ResumeAfter is the ID of the last event that the caller already has, if any.
 	ResumeAfter string
-	Arrived     time.Time
+	// Resumes is the ID of the request that brought the caller the first event of the stream that it takes up, or empty.
+	Resumes string
+	Arrived time.Time
 	// MaxWait is how long the caller will wait, counted from Arrived; 0 means that it did not say.
 	MaxWait time.Duration
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -51,6 +51,7 @@
 	RunnerRegistered      = Event{Number: 2001, Name: "RunnerRegistered", Level: slog.LevelInfo, Meaning: "A runner registered for the first time, or as a new incarnation.", Action: "None."}
 	RunnerChanged         = Event{Number: 2002, Name: "RunnerChanged", Level: slog.LevelInfo, Meaning: "A runner's registration changed.", Action: "None."}
 	RunnerRemoved         = Event{Number: 2003, Name: "RunnerRemoved", Level: slog.LevelInfo, Meaning: "A runner's registration was removed; it gets no more requests or orders.", Action: "None."}
+	ReleasesMixed         = Event{Number: 2004, Name: "ReleasesMixed", Level: slog.LevelInfo, Meaning: "The runners of `Service` have several releases of their software, or changed to another one; a stream goes on only at its own release.", Action: "None; see the section on several releases in OPERATIONS.md."}
 	OrderAccepted         = Event{Number: 3201, Name: "OrderAccepted", Level: slog.LevelInfo, Meaning: "A runner accepted an order.", Action: "None."}
 	OrderDeclined         = Event{Number: 3202, Name: "OrderDeclined", Level: slog.LevelInfo, Meaning: "A runner declined an order because another order is in progress, its order count differs or the fencing token is outdated.", Action: "None."}
 	OrderLost             = Event{Number: 3203, Name: "OrderLost", Level: slog.LevelWarn, Meaning: "An order was not answered and may still be carried out; the next accepted order voids it.", Action: "None."}
@@ -80,7 +81,7 @@
 		CallUnknown, ClaimsUnavailable,
 		AnswerCut, AnswerResumed, ForeignAnswerDropped,
 		CallAnswered, CallRefused, CallFailed, CallAborted, CallerLeft, SendFailed, StreamResumed, ResponseEvicted, CallersRefused,
-		RunnerRegistered, RunnerChanged, RunnerRemoved,
+		RunnerRegistered, RunnerChanged, RunnerRemoved, ReleasesMixed,
 		SettingsReloaded, SettingsUnusable, LinesDropped,
 		SectionSuspected, SectionQuarantined, SectionReleased,
 		QuotaGrantExpired, QuotaGranted,
--- /dev/null
+++ b/internal/origin/doc.go
@@ -0,0 +1,9 @@
+// Package origin remembers which release of the runners' software began a stream, because what two releases write doesn't fit together
+// and runners don't check it: a stream may go on only at a runner of its release.
+//
+// It answers this failure: while releases are mixed, runners or VMs end, and callers take up their streams at VMs that did not serve
+// them, also after all VMs lost power at once. While a service has several releases, and for as long afterwards as a caller may take
+// up a stream, every VM reports the streams that it began, and the lease holder appends them to a log stream, from which a VM reads
+// what it doesn't know. With a single release all the while, nothing is reported or read. A stream is not taken up if its release is
+// unknown and there may be several.
+package origin
--- /dev/null
+++ b/internal/origin/lookup.go
@@ -0,0 +1,144 @@
+package origin
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
+)
+
+// Origin is what is known of the release that began a stream.
+type Origin struct {
+	// Release is the release, if it is Known.
+	Release string
+	Known   bool
+	// Single is set if the service had a single release for as long as a stream may be taken up, so that any runner suits.
+	Single bool
+}
+
+// Lookup returns the release that began the stream of a request of any VM. It waits for a short time for one that is being reported.
+func (t *Tracker) Lookup(ctx context.Context, service, requestID string) Origin {
+	t.observe()
+	k := keyOf(requestID)
+	deadline := t.Clock.Now().Add(lookupTimeout)
+	for {
+		if b, ok := t.get(k); ok && b.service == service {
+			return Origin{
+				Release: b.release,
+				Known:   true,
+			}
+		}
+		now := t.Clock.Now()
+		if t.single(service, now) {
+			return Origin{Single: true}
+		}
+		if ctx.Err() != nil || !now.Before(deadline) {
+			return Origin{}
+		}
+		done := t.reads.DoChan("", func() (any, error) { return nil, t.read(context.WithoutCancel(ctx)) })
+		select {
+		case <-done:
+		case <-t.Clock.After(deadline.Sub(now)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (t *Tracker) get(k key) (begun, bool) {
+	if b, ok := t.own.get(k); ok {
+		return b, true
+	}
+	return t.others.get(k)
+}
+
+// single reports whether the service is known to have had a single release for as long as a stream may be taken up. Of the time before
+// its start, a VM knows that from the log only. A VM that is cut off may not know of a release that others use.
+func (t *Tracker) single(service string, now time.Time) bool {
+	if !t.Peers.Informed() || t.mixes.mixedWithin(service, memory, now) {
+		return false
+	}
+	if now.Sub(t.startedAt) >= memory {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.readOnce && now.Sub(t.loggedAt[service]) >= memory
+}
+
+// read reads what was appended to the log since the last read. The pause between two reads keeps all VMs together within the rate of the
+// log.
+func (t *Tracker) read(ctx context.Context) error {
+	interval := max(minReadInterval, time.Duration(t.Peers.VMs())*readIntervalPerVM)
+	t.mu.Lock()
+	wait := interval - t.Clock.Since(t.lastRead)
+	t.mu.Unlock()
+	if wait > 0 {
+		pause.For(ctx, t.Clock, wait)
+	}
+	t.mu.Lock()
+	t.lastRead = t.Clock.Now()
+	from := t.next
+	t.mu.Unlock()
+	page, err := t.Log.Read(ctx, Stream, from, interval)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changed *logservice.EraChangedError
+	switch {
+	case errors.As(err, &changed):
+		t.next = logservice.Position{Era: changed.Era}
+		return err
+	case notCreated(err):
+		t.readOnce = true
+		return nil
+	case err != nil:
+		return err
+	case page.Next < from.Offset:
+		// The log goes back without stating an era.
+		t.next = logservice.Position{}
+		return nil
+	}
+	for _, record := range page.Records {
+		t.applyRecord(record)
+	}
+	t.next = logservice.Position{
+		Era:    page.Era,
+		Offset: page.Next,
+	}
+	t.readOnce = t.readOnce || page.End == 0 || page.Next >= page.End
+	return nil
+}
+
+// notCreated reports whether a read failed because nothing was appended to the stream yet.
+func notCreated(err error) bool {
+	var status *logservice.StatusError
+	return errors.As(err, &status) && status.Status == http.StatusNotFound
+}
+
+// applyRecord remembers what a record names; the caller holds the lock.
+func (t *Tracker) applyRecord(record logservice.Record) {
+	var batches []Batch
+	if err := cbor.Unmarshal(record.Payload, &batches); err != nil {
+		event.RecordSkipped.Log(t.Logger, slog.String("Stream", Stream), slog.Uint64("Offset", uint64(record.Offset)), event.Error(err))
+		return
+	}
+	now := t.Clock.Now()
+	for _, batch := range batches {
+		b := begun{
+			service: batch.Service,
+			release: batch.Release,
+		}
+		for _, k := range batch.keys() {
+			t.others.add(k, b, now)
+		}
+		if at := time.UnixMilli(batch.At); at.After(t.loggedAt[batch.Service]) {
+			t.loggedAt[batch.Service] = at
+		}
+	}
+}
--- /dev/null
+++ b/internal/origin/system_test.go
@@ -0,0 +1,203 @@
+package origin
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+var errDown = errors.New("down")
+
+// memoryLog is a log that outlasts the trackers; it takes a few milliseconds for a call.
+type memoryLog struct {
+	mu      sync.Mutex
+	records []logservice.Record
+	era     logservice.Era
+	down    bool
+	reads   int
+	appends int
+	// appended is closed and replaced at each append.
+	appended chan struct{}
+}
+
+func (l *memoryLog) Append(_ context.Context, stream string, payload []byte) error {
+	time.Sleep(4 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	if l.down {
+		return &logservice.UnavailableError{Stream: stream, Cause: errDown}
+	}
+	l.records = append(l.records, logservice.Record{
+		Offset:  logservice.Offset(len(l.records)),
+		Payload: payload,
+	})
+	close(l.appended)
+	l.appended = make(chan struct{})
+	return nil
+}
+
+func (l *memoryLog) Read(_ context.Context, stream string, from logservice.Position, wait time.Duration) (logservice.Page, error) {
+	time.Sleep(4 * time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	if l.down {
+		return logservice.Page{}, &logservice.UnavailableError{Stream: stream, Cause: errDown}
+	}
+	if from.Offset > 0 && from.Era != l.era {
+		return logservice.Page{}, &logservice.EraChangedError{Stream: stream, Era: l.era}
+	}
+	if int(from.Offset) >= len(l.records) {
+		appended := l.appended
+		l.mu.Unlock()
+		select {
+		case <-appended:
+		case <-time.After(wait):
+		}
+		l.mu.Lock()
+	}
+	end := logservice.Offset(len(l.records))
+	return logservice.Page{
+		Records: l.records[min(from.Offset, end):],
+		Next:    end,
+		End:     end,
+		Era:     l.era,
+	}, nil
+}
+
+func (l *memoryLog) update(change func(*memoryLog)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l)
+}
+
+func (l *memoryLog) calls() (reads, appends int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads, l.appends
+}
+
+// system is several VMs with a log and the runners of one service.
+type system struct {
+	log    *memoryLog
+	roster *roster.Roster
+	vms    []*vm
+	// count is the number of VMs that a VM knows of.
+	count int
+}
+
+// vm is one VM with a tracker; the first one of the system holds the lease.
+type vm struct {
+	holder  atomic.Pointer[vm]
+	links   atomic.Uint64
+	count   int
+	tracker *Tracker
+	stop    func()
+	// cut is set while the VM reaches neither the store nor other VMs, unlinked while it has no link.
+	cut      atomic.Bool
+	unlinked atomic.Bool
+}
+
+func (v *vm) HoldsLease() bool { return v.holder.Load() == v }
+func (v *vm) Links() uint64    { return v.links.Load() }
+func (v *vm) Informed() bool   { return !v.cut.Load() }
+func (v *vm) VMs() int         { return v.count }
+func (v *vm) SendOrigins(batches []Batch) bool {
+	if v.unlinked.Load() || v.HoldsLease() {
+		return false
+	}
+	v.holder.Load().tracker.Receive(batches)
+	return true
+}
+
+func newSystem(vms int, releases ...string) *system {
+	s := &system{
+		count: vms,
+		log: &memoryLog{
+			era:      1,
+			appended: make(chan struct{}),
+		},
+		roster: roster.New(),
+	}
+	s.setReleases(releases...)
+	for range vms {
+		s.addVM()
+	}
+	return s
+}
+
+// setReleases has one runner of each release registered.
+func (s *system) setReleases(releases ...string) {
+	var runners []*roster.Runner
+	for _, release := range releases {
+		runners = append(runners, s.runner(release))
+	}
+	s.roster.Replace(runners, time.Now())
+}
+
+func (s *system) runner(release string) *roster.Runner {
+	return &roster.Runner{
+		ID:          "runner-" + release,
+		Service:     "models",
+		Release:     release,
+		Incarnation: 1,
+		Heartbeat:   1,
+	}
+}
+
+func (s *system) addVM() *vm {
+	v := &vm{count: s.count}
+	v.holder.Store(v)
+	if len(s.vms) > 0 {
+		v.holder.Store(s.vms[0])
+	}
+	v.tracker = New(Dependencies{
+		Log:    s.log,
+		Peers:  v,
+		Roster: s.roster.View,
+		Clock:  clockwork.NewRealClock(),
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	s.vms = append(s.vms, v)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = v.tracker.Run(ctx)
+	}()
+	v.stop = func() {
+		stop()
+		<-done
+		// A read that nobody waits for any more ends within this time.
+		time.Sleep(time.Second)
+	}
+	return v
+}
+
+// end stops all VMs without a chance to report anything more.
+func (s *system) end() {
+	s.log.update(func(l *memoryLog) { l.down = true })
+	for _, v := range s.vms {
+		v.stop()
+	}
+	s.vms = nil
+	s.log.update(func(l *memoryLog) { l.down = false })
+}
+
+func (v *vm) lookup(id string) Origin { return v.tracker.Lookup(context.Background(), "models", id) }
+
+func known(release string) Origin {
+	return Origin{
+		Known:   true,
+		Release: release,
+	}
+}
--- /dev/null
+++ b/internal/origin/tracker.go
@@ -0,0 +1,238 @@
+package origin
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/singleflight"
+
+	"github.com/cowsliparch/cowsliparch/internal/event"
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
+	"github.com/cowsliparch/cowsliparch/internal/pause"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+const (
+	// Stream is the name of the log stream that names the release of streams.
+	Stream = "StreamOrigins"
+
+	// memory is how long after its start a stream may be taken up: longer than any caller waits.
+	memory = 30 * time.Second
+	// reportInterval is the pause between two reports of streams, and between two appends.
+	reportInterval = 60 * time.Millisecond
+	// lookupTimeout is how long the record of a stream is awaited: reports take two intervals, an append and the way.
+	lookupTimeout = 400 * time.Millisecond
+	// minReadInterval is the pause between two reads of the log by one VM, readIntervalPerVM the same for each VM of the system.
+	minReadInterval   = 50 * time.Millisecond
+	readIntervalPerVM = 5 * time.Millisecond
+	// appendIntervalPerVM is the pause between two appends by a VM that reaches no lease holder, for each VM of the system.
+	appendIntervalPerVM = 10 * time.Millisecond
+	// maxPendingAge is how long appends are retried.
+	maxPendingAge = 5 * time.Second
+	// confirmTime is how long after a report the lease holder has certainly appended it, unless it has ended or can't reach the log.
+	confirmTime = 2 * time.Second
+)
+
+// Log is the log that outlasts all VMs.
+type Log interface {
+	// Append appends a record to a stream.
+	Append(ctx context.Context, stream string, payload []byte) error
+	// Read is that of logservice.ConditionalLog.
+	Read(ctx context.Context, stream string, from logservice.Position, wait time.Duration) (logservice.Page, error)
+}
+
+// Peers connects a tracker to the other VMs.
+type Peers interface {
+	// HoldsLease reports whether this VM appends for all VMs.
+	HoldsLease() bool
+	// SendOrigins reports streams over the present link to the lease holder, and returns false if there is none.
+	SendOrigins(batches []Batch) bool
+	// Links returns the number of links to lease holders that were opened so far.
+	Links() uint64
+	// Informed reports whether this VM learns of new runners, from the store or from another VM.
+	Informed() bool
+	// VMs returns the number of VMs.
+	VMs() int
+}
+
+// Dependencies holds what a tracker uses.
+type Dependencies struct {
+	Log    Log
+	Peers  Peers
+	Roster func() *roster.View
+	Clock  clockwork.Clock
+	Logger *slog.Logger
+}
+
+// Tracker remembers which release began a stream; it is safe for concurrent use.
+type Tracker struct {
+	Dependencies
+	startedAt time.Time
+	mixes     mixes
+	// own has the streams that began here, others those read from the log.
+	own    *index
+	others *index
+	// reads lets requests that look for streams share a read of the log.
+	reads singleflight.Group
+
+	mu sync.Mutex
+	// outgoing are the streams to be reported, reported those that were within confirmTime, over the link with number link, and
+	// received those that other VMs reported and the log lacks.
+	outgoing   pending
+	reported   []Batch
+	link       uint64
+	received   []Batch
+	lastAppend time.Time
+	// next is the position of the next read, lastRead when the last one began.
+	next     logservice.Position
+	lastRead time.Time
+	// readOnce is set once the log was read to its end.
+	readOnce bool
+	// loggedAt is the time of the newest batch of each service in the log.
+	loggedAt map[string]time.Time
+}
+
+// New returns a tracker; Run reports streams.
+func New(d Dependencies) *Tracker {
+	return &Tracker{
+		Dependencies: d,
+		startedAt:    d.Clock.Now(),
+		mixes:        mixes{services: make(map[string]*mix)},
+		own:          newIndex(memory / 2),
+		others:       newIndex(memory / 2),
+		outgoing:     make(pending),
+		loggedAt:     make(map[string]time.Time),
+	}
+}
+
+// RecordStart records that a runner sends the first event of a stream to its caller.
+func (t *Tracker) RecordStart(requestID string, runner *roster.Runner) {
+	now := t.Clock.Now()
+	b := begun{
+		service: runner.Service,
+		release: runner.Release,
+	}
+	k := keyOf(requestID)
+	t.own.add(k, b, now)
+	if t.mixes.mixedWithin(runner.Service, memory, now) {
+		t.mu.Lock()
+		t.outgoing.add(b, k)
+		t.mu.Unlock()
+	}
+}
+
+// Receive handles the report of another VM, which this VM is to append to the log.
+func (t *Tracker) Receive(batches []Batch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.received = append(t.received, batches...)
+}
+
+// Run reports the streams that began here and appends what other VMs reported, until the context ends.
+func (t *Tracker) Run(ctx context.Context) error {
+	for {
+		t.observe()
+		t.report(ctx)
+		if !pause.For(ctx, t.Clock, reportInterval) {
+			t.observe()
+			finalCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
+			defer cancel()
+			t.report(finalCtx)
+			return nil
+		}
+	}
+}
+
+// observe looks for services that have begun to have several releases, and has the streams that began before reported.
+func (t *Tracker) observe() {
+	for _, service := range t.mixes.observe(t.Roster(), t.Clock.Now()) {
+		event.ReleasesMixed.Log(t.Logger, slog.String("Service", service))
+		t.mu.Lock()
+		for release, keys := range t.own.all(service) {
+			t.outgoing.add(begun{
+				service: service,
+				release: release,
+			}, keys...)
+		}
+		t.mu.Unlock()
+	}
+}
+
+// report sends what is to be reported to the lease holder. Without a link to it, or as the holder, this VM appends it to the log, with what
+// other VMs reported.
+func (t *Tracker) report(ctx context.Context) {
+	batches := t.send(t.takeOutgoing())
+	now := t.Clock.Now()
+	t.mu.Lock()
+	batches = append(t.received, batches...)
+	t.received = nil
+	due := t.Peers.HoldsLease() || now.Sub(t.lastAppend) >= time.Duration(t.Peers.VMs())*appendIntervalPerVM
+	if due {
+		t.lastAppend = now
+	}
+	t.mu.Unlock()
+	if !due {
+		t.keep(batches)
+		return
+	}
+	for len(batches) > 0 {
+		n := fitRecord(batches)
+		if !t.append(ctx, batches[:n]) {
+			t.keep(batches)
+			return
+		}
+		batches = batches[n:]
+	}
+}
+
+// takeOutgoing returns what is to be reported. After the link has changed, this includes what the former holder may not have appended.
+func (t *Tracker) takeOutgoing() []Batch {
+	now := t.Clock.Now()
+	link := t.Peers.Links()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	batches := t.outgoing.batches(now.UnixMilli())
+	t.outgoing = make(pending)
+	t.reported = newerThan(t.reported, now.Add(-confirmTime))
+	if link != t.link || t.Peers.HoldsLease() {
+		batches = append(t.reported, batches...)
+		t.reported = nil
+	}
+	t.link = link
+	return batches
+}
+
+// send sends batches to the lease holder and returns those for which there is no link.
+func (t *Tracker) send(batches []Batch) []Batch {
+	for len(batches) > 0 && !t.Peers.HoldsLease() {
+		n := fitRecord(batches)
+		if !t.Peers.SendOrigins(batches[:n]) {
+			break
+		}
+		t.mu.Lock()
+		t.reported = append(t.reported, batches[:n]...)
+		t.mu.Unlock()
+		batches = batches[n:]
+	}
+	return batches
+}
+
+// append appends batches to the log and reports whether they are there.
+func (t *Tracker) append(ctx context.Context, batches []Batch) bool {
+	payload, err := cbor.Marshal(batches)
+	if err != nil {
+		return false
+	}
+	return t.Log.Append(ctx, Stream, payload) == nil
+}
+
+// keep has batches appended later, unless that failed for too long.
+func (t *Tracker) keep(batches []Batch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.received = append(t.received, newerThan(batches, t.Clock.Now().Add(-maxPendingAge))...)
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -52,6 +52,8 @@
 	UnknownYet         Code = "UnknownYet"
 	LogUnavailable     Code = "LogUnavailable"
 	QuarantinedPrompt  Code = "QuarantinedPrompt"
+	ReleaseUnknown     Code = "ReleaseUnknown"
+	ReleaseGone        Code = "ReleaseGone"
 	UnknownAccount     Code = "UnknownAccount"
 	OverQuota          Code = "OverQuota"
 )
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowsliparch/cowsliparch/internal/roster"
@@ -144,3 +145,12 @@
 		})
 	}
 }
+
+// VMs of an earlier build decode registrations as arrays of a fixed length.
+func TestReleaseIsNotEncoded(t *testing.T) {
+	encoded, err := cbor.Marshal(roster.Runner{ID: "a", Release: "v1"})
+	require.NoError(t, err)
+	without, err := cbor.Marshal(roster.Runner{ID: "a"})
+	require.NoError(t, err)
+	require.Equal(t, without, encoded)
+}
--- a/internal/roster/runner.go
+++ b/internal/roster/runner.go
@@ -17,6 +17,9 @@
 	Draining      bool
 	// Remaining is the time until a runner with short notice is shut down; zero if it has no notice.
 	Remaining time.Duration
+	// Release is the version of the runner's software. What two releases write doesn't fit together. It is not encoded, because VMs of
+	// an older release could not decode it; links carry it apart.
+	Release string `cbor:"-"`
 	// Incarnation identifies the incarnation of a runner ID; later incarnations have greater values.
 	Incarnation int64
 	// Heartbeat counts the registrations of this incarnation.
@@ -63,7 +66,7 @@
 // weights, and how much of the time until a shutdown remains.
 func (r *Runner) sameState(other *Runner) bool {
 	return r.Address == other.Address && r.Draining == other.Draining && r.Incarnation == other.Incarnation &&
-		r.Service == other.Service && r.FailureDomain == other.FailureDomain && r.Slots == other.Slots &&
+		r.Service == other.Service && r.FailureDomain == other.FailureDomain && r.Slots == other.Slots && r.Release == other.Release &&
 		(r.Remaining > 0) == (other.Remaining > 0) &&
 		slices.EqualFunc(r.Models, other.Models, func(a, b LoadedModel) bool {
 			return a.Model == b.Model && slices.Equal(a.Adapters, b.Adapters)
--- a/internal/serving/dependencies.go
+++ b/internal/serving/dependencies.go
@@ -11,6 +11,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
 	"github.com/cowsliparch/cowsliparch/internal/registry"
@@ -27,6 +28,7 @@
 	Source        registry.Source
 	Log           logservice.ConditionalLog
 	Quarantine    quarantine.Store
+	Origins       origin.Log
 	Sender        dispatch.Sender
 	Orders        orders.Client
 	Pool          *outbound.Pool
--- a/internal/serving/loops.go
+++ b/internal/serving/loops.go
@@ -45,6 +45,7 @@
 	return append(s.guard.Loops(),
 		s.watcher.WatchConfiguration,
 		s.watcher.WatchRunners,
+		s.origins.Run,
 		s.lease.Run,
 		s.controller.Run,
 		s.spoke.Run,
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -22,6 +22,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/orderlease"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
+	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/promptguard"
 	"github.com/cowsliparch/cowsliparch/internal/registry"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
@@ -50,6 +51,7 @@
 	aggregator   *cluster.UsageAggregator
 	spoke        *cluster.Spoke
 	guard        *promptguard.Guard
+	origins      *origin.Tracker
 	quotas       *quotas
 	stopping     atomic.Bool
 	// requests is the context of all requests of callers; cancelRequests ends it.
@@ -107,6 +109,13 @@
 		Clock:        d.Clock,
 		Logger:       d.Logger,
 	})
+	s.origins = origin.New(origin.Dependencies{
+		Log:    d.Origins,
+		Peers:  &originPeers{server: s},
+		Roster: s.roster.View,
+		Clock:  d.Clock,
+		Logger: d.Logger,
+	})
 	s.quotas = newQuotas(d.BootClock, s.quotaAccounts)
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
 		Catalog:     s.catalog.Current,
@@ -118,6 +127,7 @@
 		Demand:      &demandRecorder{server: s},
 		Buffers:     s.buffers,
 		Guard:       s.guard,
+		Origins:     s.origins,
 		Quotas:      s.quotas,
 		Shedding: dispatch.Shedding{
 			ByCost:   func() bool { return s.currentSettings().Limits.Shedding == settings.SheddingByCost },
--- a/pkg/cmd/serve/serve.go
+++ b/pkg/cmd/serve/serve.go
@@ -99,6 +99,7 @@
 		Source:        store,
 		Log:           store,
 		Quarantine:    store,
+		Origins:       store,
 		Sender:        client,
 		Orders:        client,
 		Pool:          pool,
