dispatch, layout: serve streams that are taken up at their release

Change: a stream that is taken up at its release counts as under way, like one that goes on within its request, and is not refused for its expected wait. The planner does not unload the last replica that a release has of a model in demand while other releases serve it.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -158,12 +158,16 @@
 	return pick, nil
 }
 
-// mayRefuse reports whether the request may still be refused because of its expected wait: it needs a model and has not been sent
-// yet. Runners begin the service's most urgent requests before others that wait, so those are always sent.
+// mayRefuse reports whether the request may still be refused because of its expected wait: it needs a model, has not been sent yet and
+// takes up no stream. Runners begin the service's most urgent requests before others that wait, so those are always sent.
 func (c *call) mayRefuse() bool {
-	return c.service.Engine != nil && c.request.Model != "" && len(c.tried) == 0 && c.rank > c.service.FirstPriority
+	return c.service.Engine != nil && c.request.Model != "" && !c.underWay() && c.rank > c.service.FirstPriority
 }
 
+// underWay reports whether the request was sent to a runner, or goes on with a stream that was. Expected waits over all runners do not
+// apply to such a stream, for which only those of its release count.
+func (c *call) underWay() bool { return len(c.tried) > 0 || c.release != nil }
+
 // loadTime returns how long it takes until one more runner has loaded a model.
 func (c *call) loadTime(name string) time.Duration {
 	model, _ := c.service.Engine.Model(name)
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -1,13 +1,16 @@
 package dispatch_test
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -71,3 +74,22 @@
 	require.Greater(t, refused, 100, "16 slots serve some 40 requests a second")
 	require.Less(t, refused, 200)
 }
+
+// A caller that takes up its stream has a part of the answer already, and few runners can go on with it.
+func TestTakenUpStreamIsNotRefusedAsHopeless(t *testing.T) {
+	h := overloaded(t)
+	urgent, other := route("/urgent/", catalog.Streaming, true, 1), route("/other/", catalog.Streaming, true, 1)
+	other.Priority = 1
+	h.catalog = catalog.New(9, catalog.Limits{}, []catalog.Route{urgent, other},
+		slices.Collect(maps.Values(h.catalog.Services())))
+	r := h.request("/other/")
+	r.Model, r.ResumeAfter, r.Resumes = "m", "0", "first"
+	h.dispatcher.Origins = &fakeOrigins{
+		found:   origin.Origin{Known: true},
+		started: make(map[string]string),
+		caller:  h.caller,
+	}
+	h.dispatcher.Serve(t.Context(), r, h.caller)
+	require.Equal(t, 1, h.sender.count())
+	require.Equal(t, http.StatusOK, h.caller.status)
+}
--- a/internal/dispatch/shed.go
+++ b/internal/dispatch/shed.go
@@ -32,9 +32,9 @@
 	delay     time.Duration
 }
 
-// shedsByCost reports whether the shedder decides on the request, which is possible until it is sent first.
+// shedsByCost reports whether the shedder decides on the request, which is possible until it is under way.
 func (c *call) shedsByCost() bool {
-	return c.d.Shedding.ByCost != nil && c.service.Engine != nil && c.request.Model != "" && len(c.tried) == 0 && c.d.Shedding.ByCost()
+	return c.d.Shedding.ByCost != nil && c.service.Engine != nil && c.request.Model != "" && !c.underWay() && c.d.Shedding.ByCost()
 }
 
 // shedByCost returns the runner to which the request is to be sent now or after a delay, or a refusal. It returns neither if the
--- a/internal/layout/layout_test.go
+++ b/internal/layout/layout_test.go
@@ -374,3 +374,35 @@
 		require.LessOrEqual(t, len(step.Adapters), 4)
 	}
 }
+
+// While runners have several releases, a stream goes on only at its own: its release must not lose the last replica of a model in demand.
+func TestLastReplicaOfReleaseIsKept(t *testing.T) {
+	for _, several := range []bool{false, true} {
+		t.Run(fmt.Sprint("several releases ", several), func(t *testing.T) {
+			e := engine(4, 0)
+			var runners []*layout.Runner
+			for i := range 5 {
+				r := runner(fmt.Sprint("r", i), "a", "m0", "m1", "m2")
+				r.Release = "v1"
+				r.Busy = i > 0
+				r.OnDisk = []string{"m3"}
+				if several && i > 0 {
+					r.Release = "v2"
+				}
+				runners = append(runners, r)
+			}
+			steps := layout.PlanModels(e, runners, demand(map[string]float64{"m0": 30, "m1": 30, "m2": 0, "m3": 200}), 5)
+			require.NotEmpty(t, steps)
+			require.Equal(t, "r0", steps[0].Runner)
+			require.Equal(t, []string{"m2"}, steps[0].Unload, "no work is done for m2")
+			runners[0].Models = map[string][]string{"m0": nil, "m1": nil}
+			e.WeightsMB = 150
+			steps = layout.PlanModels(e, runners[:5], demand(map[string]float64{"m0": 30, "m1": 30, "m3": 200}), 5)
+			if several {
+				require.Empty(t, steps)
+			} else {
+				require.NotEmpty(t, steps)
+			}
+		})
+	}
+}
--- a/internal/layout/plan.go
+++ b/internal/layout/plan.go
@@ -39,9 +39,10 @@
 	engine  *catalog.Engine
 	runners []*Runner
 	demand  Demand
-	// replicas counts the replicas of each model including those being loaded, serving only those that serve requests.
-	replicas map[string]int
-	serving  map[string]int
+	// replicas counts the replicas of each model including those being loaded, serving and releaseServing only those that serve requests.
+	replicas       map[string]int
+	serving        map[string]int
+	releaseServing map[releaseModel]int
 	// excluded is the set of runners that get no step, or no further one, in this plan.
 	excluded map[string]bool
 	// gains is the value of one more replica of each model, minGain what it must exceed.
@@ -71,6 +72,7 @@
 		serving:  countReplicas(runners, (*Runner).serves),
 		excluded: make(map[string]bool),
 	}
+	p.countReleases()
 	p.prepare()
 	var steps []Step
 	for {
@@ -87,6 +89,7 @@
 			p.replicas[victim]--
 			p.serving[victim]--
 		}
+		p.removeFromRelease(step)
 		p.updateGains(step)
 		p.computeRunnerWork()
 		steps = append(steps, step)
@@ -226,11 +229,15 @@
 	}
 }
 
-// cheapestModel returns the model on a runner with the lowest value, except those already chosen.
+// cheapestModel returns the model on a runner with the lowest value, except those already chosen and those that streams of the
+// runner's release need.
 func (p *modelPlan) cheapestModel(r *Runner, excluded []string) (string, float64) {
 	name, minValue := "", lastReplicaValue
 	for model := range r.Models {
-		if value := p.replicaValue(model, p.serving[model]); value < minValue && !slices.Contains(excluded, model) {
+		if slices.Contains(excluded, model) || p.lastOfRelease(r, model) {
+			continue
+		}
+		if value := p.replicaValue(model, p.serving[model]); value < minValue {
 			name, minValue = model, value
 		}
 	}
--- a/internal/layout/runner.go
+++ b/internal/layout/runner.go
@@ -6,6 +6,8 @@
 type Runner struct {
 	ID            string
 	FailureDomain string
+	// Release is the version of the runner's software; a stream goes on only at runners of the release that began it.
+	Release string
 	// Models maps the models that the runner has to their adapters.
 	Models map[string][]string
 	// Loading is the model that a step in progress loads, Unloading those that it unloads.
--- a/internal/orders/runnerstate.go
+++ b/internal/orders/runnerstate.go
@@ -109,6 +109,7 @@
 		InUse:          inUse,
 		ID:             s.registration.ID,
 		FailureDomain:  s.registration.FailureDomain,
+		Release:        s.registration.Release,
 		Models:         s.modelsAfterStep(),
 		Loading:        s.step.Load,
 		Unloading:      s.step.Unload,
