outbound: don't take a response that was reset during an upload for whole

Cause: the kernel reports a reset to one call. If that is the write of the request, reads find the end of the connection, which is how such a response ends.

Change: the error of the write is kept. At the end of a response without framing on a connection that the kernel has closed, the write fails at once; if its error is ECONNRESET, the response was broken off. After the endpoint had ended its side, the error would be EPIPE, and the response is whole.

--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -25,10 +28,10 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	closed      atomic.Bool
-	// pendingWrites counts the writes that go on while a response is read; writeFailed is set if one failed.
-	pendingWrites atomic.Int32
-	writeFailed   atomic.Bool
-	onClose       func()
+	// written is closed once the request was written whole or failed; writeErr is why it failed, to be read after that.
+	written  chan struct{}
+	writeErr error
+	onClose  func()
 	// used is set once a request got its response. recentIDs are the IDs of the latest requests that did.
 	used      bool
 	recentIDs []string
@@ -46,6 +49,7 @@
 		reader:      bufio.NewReaderSize(head, readBufferBytes),
 		head:        head,
 		idleTimeout: defaultIdleTimeout,
+		written:     make(chan struct{}),
 		onClose:     onClose,
 	}
 }
@@ -109,3 +113,45 @@
 	})
 	return err == nil && empty
 }
+
+// writeEnded reports whether the request was written whole or failed.
+func (c *conn) writeEnded() bool {
+	select {
+	case <-c.written:
+		return true
+	default:
+		return false
+	}
+}
+
+// resetError returns the error of a reset that was reported to the write of the request: reads then find the end of the connection, as if
+// the endpoint had ended its side. A reset that came after that end fails a write with EPIPE.
+func (c *conn) resetError() error {
+	if !c.closedByKernel() {
+		return nil
+	}
+	// A write fails at once on a connection that is closed.
+	<-c.written
+	if errors.Is(c.writeErr, syscall.ECONNRESET) {
+		return c.writeErr
+	}
+	return nil
+}
+
+// closedByKernel reports whether the connection is closed in both directions, as after a reset.
+func (c *conn) closedByKernel() bool {
+	syscallConn, ok := c.socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rawConn, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = rawConn.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && closed
+}
--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -42,13 +42,19 @@
 	}
 }
 
-// Read implements io.Reader; it returns io.EOF only after the complete body.
+// Read implements io.Reader; it returns io.EOF only after the complete body, also if the body ends with its connection.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.response.Body.Read(b)
-	if errors.Is(err, io.EOF) {
-		r.complete.Store(true)
-		r.Close()
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if r.CloseDelimited() {
+		if reset := r.conn.resetError(); reset != nil {
+			return n, reset
+		}
+	}
+	r.complete.Store(true)
+	r.Close()
 	return n, err
 }
 
@@ -66,8 +72,8 @@
 }
 
 func (r *Response) canReuse() bool {
-	return !r.response.Close && !r.conn.mismatched && r.conn.reader.Buffered() == 0 && r.conn.pendingWrites.Load() == 0 &&
-		!r.conn.writeFailed.Load() && !r.CloseDelimited()
+	return !r.response.Close && !r.conn.mismatched && r.conn.reader.Buffered() == 0 && r.conn.writeEnded() &&
+		r.conn.writeErr == nil && !r.CloseDelimited()
 }
 
 // CloseDelimited reports whether the end of the body is marked only by the end of the connection.
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -85,19 +85,16 @@
 // writeRequest writes a request and returns how many bytes were written before it returned.
 func writeRequest(c *conn, request Request) (int, error) {
 	encoded := request.encode()
-	if len(encoded) <= syncWriteBytes {
-		return c.socket.Write(encoded)
-	}
-	n, err := c.socket.Write(encoded[:syncWriteBytes])
-	if err != nil {
+	c.written, c.writeErr = make(chan struct{}), nil
+	n, err := c.socket.Write(encoded[:min(len(encoded), syncWriteBytes)])
+	if err != nil || n == len(encoded) {
+		c.writeErr = err
+		close(c.written)
 		return n, err
 	}
-	c.pendingWrites.Add(1)
 	go func() {
-		defer c.pendingWrites.Add(-1)
-		if _, err := c.socket.Write(encoded[syncWriteBytes:]); err != nil {
-			c.writeFailed.Store(true)
-		}
+		_, c.writeErr = c.socket.Write(encoded[n:])
+		close(c.written)
 	}()
 	return n, nil
 }
