--- a/internal/layout/release.go
+++ b/internal/layout/release.go
@@ -6,6 +6,13 @@
 	model   string
 }
 
+func (r *Runner) releaseModel(model string) releaseModel {
+	return releaseModel{
+		release: r.Release,
+		model:   model,
+	}
+}
+
 // countReleases counts the replicas of each release that serve requests.
 func (p *modelPlan) countReleases() {
 	p.releaseServing = make(map[releaseModel]int)
@@ -15,7 +22,7 @@
 		}
 		for model := range r.Models {
 			if r.serves(model) {
-				p.releaseServing[releaseModel{release: r.Release, model: model}]++
+				p.releaseServing[r.releaseModel(model)]++
 			}
 		}
 	}
@@ -28,7 +35,7 @@
 			continue
 		}
 		for _, victim := range step.Unload {
-			p.releaseServing[releaseModel{release: r.Release, model: victim}]--
+			p.releaseServing[r.releaseModel(victim)]--
 		}
 	}
 }
@@ -36,6 +43,6 @@
 // lastOfRelease reports whether a runner has the last replica of a model in its release, although other releases serve the model too
 // and there is work for it: streams that the release began could go on nowhere.
 func (p *modelPlan) lastOfRelease(r *Runner, model string) bool {
-	n := p.releaseServing[releaseModel{release: r.Release, model: model}]
+	n := p.releaseServing[r.releaseModel(model)]
 	return n == 1 && p.serving[model] > n && p.demand.Work[model] >= p.minGain
 }
--- a/internal/orderlease/stream.go
+++ b/internal/orderlease/stream.go
@@ -70,7 +70,10 @@
 			return err
 		}
 		if page.Next < from.Offset {
-			return &logservice.ExpiredError{Stream: Stream, From: from.Offset}
+			return &logservice.ExpiredError{
+				Stream: Stream,
+				From:   from.Offset,
+			}
 		}
 		if len(page.Records) == 0 && page.Next == from.Offset && page.Era == from.Era {
 			return nil
