promptguard: save again what a restored store lacks

Callers would see: a section that crashes runners leaves quarantine for all VMs that start after the store was restored from a copy, because its record is gone and the holder believes that it is saved.

The holder read the records anew only when it got the lease from another VM.

Change: a holder whose tenure changes without a break, as it does in a new era, reads the records anew and saves those that the store lacks.

Tests: TestRecordsLostByStoreAreSavedAgain fails without the change.

--- a/internal/promptguard/guard.go
+++ b/internal/promptguard/guard.go
@@ -29,6 +29,9 @@
 type Peers interface {
 	// HoldsLease reports whether this VM decides for all VMs.
 	HoldsLease() bool
+	// Tenure identifies the tenure for which this VM holds the lease. It changes without a break when the store was restored from a copy,
+	// which may lack what was saved.
+	Tenure() uint64
 	// LinkedToHolder reports whether this VM has a link to the lease holder, and returns the number of links opened so far.
 	LinkedToHolder() (link uint64, ok bool)
 	// SendEvidence sends evidence to the lease holder, if there is a link.
@@ -75,6 +78,8 @@
 	fromHolder quarantine.Status
 	holderLink uint64
 	role       role
+	// tenure is that of the last round in which this VM held the lease.
+	tenure uint64
 	// judgeAt is when the lease holder next judges; before that, it awaits answers that other VMs know.
 	judgeAt time.Time
 	// recent holds this VM's newest strikes.
--- a/internal/promptguard/guard_test.go
+++ b/internal/promptguard/guard_test.go
@@ -143,6 +143,7 @@
 }
 
 func (v *vm) HoldsLease() bool { return v.cluster.holder == v }
+func (v *vm) Tenure() uint64   { return 1 }
 func (v *vm) LinkedToHolder() (uint64, bool) {
 	return v.links, !v.cutOff && v.cluster.holder != nil && v.cluster.holder != v
 }
--- a/internal/promptguard/persist_test.go
+++ b/internal/promptguard/persist_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,45 +64,84 @@
 	return has
 }
 
+// restore drops all records.
+func (s *flakyStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.entries)
+}
+
 // soleVM is a VM that holds the lease and has no links.
-type soleVM struct{}
+type soleVM struct {
+	tenure atomic.Uint64
+}
 
-func (soleVM) HoldsLease() bool                      { return true }
-func (soleVM) LinkedToHolder() (uint64, bool)        { return 0, false }
-func (soleVM) SendEvidence(quarantine.Evidence)      {}
-func (soleVM) BroadcastQuarantine(quarantine.Status) {}
+func (*soleVM) HoldsLease() bool                      { return true }
+func (v *soleVM) Tenure() uint64                      { return v.tenure.Load() }
+func (*soleVM) LinkedToHolder() (uint64, bool)        { return 0, false }
+func (*soleVM) SendEvidence(quarantine.Evidence)      {}
+func (*soleVM) BroadcastQuarantine(quarantine.Status) {}
 
-// Calls to the store are repeated until they succeed.
-func TestStoreFailuresAreRetried(t *testing.T) {
-	now := time.Now()
-	store := &flakyStore{entries: map[string]quarantine.Entry{
-		"stored": {Section: "stored", Convictions: 1, ConvictedAt: now, RequestedAt: now},
-		"old":    {Section: "old", Convictions: 1, ConvictedAt: now.Add(-72 * time.Hour), RequestedAt: now.Add(-72 * time.Hour)},
-	}}
-	clock := clockwork.NewRealClock()
+// newSoleGuard returns a running guard of a sole VM.
+func newSoleGuard(t *testing.T, store quarantine.Store) (*Guard, *soleVM) {
+	t.Helper()
+	vm := &soleVM{}
 	g := New(Dependencies{
-		Peers:        soleVM{},
+		Peers:        vm,
 		Store:        store,
 		Roster:       roster.New().View,
 		LastReceived: func(string) time.Time { return time.Time{} },
 		Metrics:      NewMetrics(prometheus.NewRegistry()),
-		Clock:        clock,
+		Clock:        clockwork.NewRealClock(),
 		Logger:       slog.New(slog.DiscardHandler),
 	})
-	ctx, stop := context.WithCancel(t.Context())
+	ctx, stop := context.WithCancel(context.Background())
 	loops, ctx := errgroup.WithContext(ctx)
 	for _, loop := range g.Loops() {
 		loops.Go(func() error { return loop(ctx) })
 	}
+	t.Cleanup(func() {
+		stop()
+		require.NoError(t, loops.Wait())
+	})
+	return g, vm
+}
+
+// convict has a section crash three runners.
+func convict(g *Guard, section string) {
+	now := time.Now()
+	for i, runner := range []string{"r1", "r2", "r3"} {
+		at := now.Add(time.Duration(i) * time.Second)
+		g.RecordStrike(&roster.Runner{ID: runner}, prompt(section), quarantine.NewProgress(at), at.Add(time.Second))
+	}
+}
+
+// Calls to the store are repeated until they succeed.
+func TestStoreFailuresAreRetried(t *testing.T) {
+	now := time.Now()
+	store := &flakyStore{entries: map[string]quarantine.Entry{
+		"stored": {Section: "stored", Convictions: 1, ConvictedAt: now, RequestedAt: now},
+		"old":    {Section: "old", Convictions: 1, ConvictedAt: now.Add(-72 * time.Hour), RequestedAt: now.Add(-72 * time.Hour)},
+	}}
+	g, _ := newSoleGuard(t, store)
 	require.False(t, g.Loaded())
 	require.Eventually(t, g.Loaded, waitTimeout, pollInterval)
 	_, refused := g.Quarantined(prompt("stored"))
 	require.True(t, refused)
-	for i, runner := range []string{"r1", "r2", "r3"} {
-		at := now.Add(time.Duration(i) * time.Second)
-		g.RecordStrike(&roster.Runner{ID: runner}, prompt("deadly"), quarantine.NewProgress(at), at.Add(time.Second))
-	}
+	convict(g, "deadly")
 	require.Eventually(t, func() bool { return store.has("deadly") && !store.has("old") }, waitTimeout, pollInterval)
-	stop()
-	require.NoError(t, loops.Wait())
+}
+
+// A store that was restored from a copy lacks the newest records. They are saved again by the VM that goes on deciding.
+func TestRecordsLostByStoreAreSavedAgain(t *testing.T) {
+	store := &flakyStore{entries: make(map[string]quarantine.Entry)}
+	g, vm := newSoleGuard(t, store)
+	require.Eventually(t, g.Loaded, waitTimeout, pollInterval)
+	convict(g, "deadly")
+	require.Eventually(t, func() bool { return store.has("deadly") }, waitTimeout, pollInterval)
+	store.restore()
+	vm.tenure.Add(1)
+	require.Eventually(t, func() bool { return store.has("deadly") }, waitTimeout, pollInterval)
+	_, refused := g.Quarantined(prompt("deadly"))
+	require.True(t, refused)
 }
--- a/internal/promptguard/simulation_test.go
+++ b/internal/promptguard/simulation_test.go
@@ -72,6 +72,7 @@
 }
 
 func (v *simVM) HoldsLease() bool { return v.sim.holder == v }
+func (v *simVM) Tenure() uint64   { return 1 }
 func (v *simVM) LinkedToHolder() (uint64, bool) {
 	return v.link, v.linkedTo != nil && v.linkedTo == v.sim.holder
 }
--- a/internal/promptguard/verdicts.go
+++ b/internal/promptguard/verdicts.go
@@ -40,7 +40,16 @@
 	default:
 		g.role = alone
 	}
-	if g.role == holder && before != holder {
+	if g.role != holder {
+		return
+	}
+	tenure := g.Peers.Tenure()
+	if before == holder && tenure != g.tenure {
+		g.savedKnown = false
+		signal(g.reload)
+	}
+	g.tenure = tenure
+	if before != holder {
 		g.fromHolder = quarantine.Status{}
 		g.sent, g.sentEntries = "", nil
 		g.savedKnown = false
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -34,6 +34,9 @@
 // HoldsLease implements promptguard.Peers.
 func (p *guardPeers) HoldsLease() bool { return p.server.HoldsLease() }
 
+// Tenure implements promptguard.Peers.
+func (p *guardPeers) Tenure() uint64 { return p.server.HeldFence() }
+
 // LinkedToHolder implements promptguard.Peers.
 func (p *guardPeers) LinkedToHolder() (link uint64, ok bool) {
 	return p.server.spoke.LinksOpened(), !p.server.HoldsLease() && p.server.lease.HolderSeenRecently()
