dispatch: look for a stream's release within the request's own context

Cause: the release was looked for before the request was run, where neither the quota is returned nor a caller that left is noticed.

Change: it is looked for first thing in run.

Tests: TestCostIsReturnedIfReleaseIsUnknown and TestCallerThatLeftIsNotRefused failed before.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,9 +86,6 @@
 		caller:  caller,
 	}
 	refused := c.resolveRoute()
-	if refused == nil {
-		refused = c.findRelease(ctx)
-	}
 	if refused == nil {
 		refused = c.run(ctx)
 		c.returnQuota()
--- a/internal/dispatch/origin_test.go
+++ b/internal/dispatch/origin_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
@@ -137,3 +138,26 @@
 		})
 	}
 }
+
+// The cost of a request that is refused because its stream's release is unknown goes back to its account.
+func TestCostIsReturnedIfReleaseIsUnknown(t *testing.T) {
+	h, _ := newReleaseHarness(t, origin.Origin{}, map[string]string{"m1": "v1"}, respond(http.StatusOK, "ok"))
+	quotas := withAccounts(h)
+	h.serveWithKey(t, "/stream/", largeKey, func(r *dispatch.Request) { r.ResumeAfter = "2" })
+	require.Equal(t, refusal.ReleaseUnknown, h.caller.refused.Code)
+	require.Len(t, quotas.taken, 1)
+	require.Equal(t, quotas.taken, quotas.returned)
+}
+
+// A caller may have left before its stream could be looked for, such as while this VM was suspended.
+func TestCallerThatLeftIsNotRefused(t *testing.T) {
+	h, _ := newReleaseHarness(t, origin.Origin{}, map[string]string{"m1": "v1"}, respond(http.StatusOK, "ok"))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	r := h.request("/stream/")
+	r.ResumeAfter = "2"
+	h.dispatcher.Serve(ctx, r, h.caller)
+	require.Nil(t, h.caller.refused)
+	require.True(t, h.caller.aborted)
+	require.Zero(t, h.sender.count())
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -30,6 +30,13 @@
 	deadline := c.d.Clock.AfterFunc(c.deadline.Sub(c.d.Clock.Now())+deadlineGrace, func() { cancel(errDeadline) })
 	defer deadline.Stop()
 	defer c.endAttempts()
+	refused := c.findRelease(ctx)
+	if ctx.Err() != nil {
+		return c.handleCancel(ctx)
+	}
+	if refused != nil {
+		return refused
+	}
 	for {
 		if c.current == nil {
 			if refused := c.startNext(ctx); refused != nil {
