origin: await a read of the log before a stream counts as unknown

Cause: the first read of the log by a VM that has just started takes longer than the 0.4 s for which lookups waited; a second later, other VMs knew some of these streams.

Change: a lookup awaits a read that began after it, for 2 s at most, and a VM reads the log once as it starts. A read that only learns that records have expired does not delay the next one.

--- a/internal/origin/lookup.go
+++ b/internal/origin/lookup.go
@@ -23,11 +23,12 @@
 	Single bool
 }
 
-// Lookup returns the release that began the stream of a request of any VM. It waits for a short time for one that is being reported.
+// Lookup returns the release that began the stream of a request of any VM. It waits for a short time for one that is being reported, and
+// for a read of the log that began later than the lookup.
 func (t *Tracker) Lookup(ctx context.Context, service, requestID string) Origin {
 	t.observe()
 	k := keyOf(requestID)
-	deadline := t.Clock.Now().Add(lookupTimeout)
+	started := t.Clock.Now()
 	for {
 		if b, ok := t.get(k); ok && b.service == service {
 			return Origin{
@@ -39,18 +40,30 @@
 		if t.single(service, now) {
 			return Origin{Single: true}
 		}
-		if ctx.Err() != nil || !now.Before(deadline) {
+		limit := maxLookupTime
+		if t.readSince(started) {
+			limit = lookupTimeout
+		}
+		left := started.Add(limit).Sub(now)
+		if ctx.Err() != nil || left <= 0 {
 			return Origin{}
 		}
 		done := t.reads.DoChan("", func() (any, error) { return nil, t.read(context.WithoutCancel(ctx)) })
 		select {
 		case <-done:
-		case <-t.Clock.After(deadline.Sub(now)):
+		case <-t.Clock.After(left):
 		case <-ctx.Done():
 		}
 	}
 }
 
+// readSince reports whether a read that began after a time has reached the end of the log.
+func (t *Tracker) readSince(since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.readToEnd.After(since)
+}
+
 func (t *Tracker) get(k key) (begun, bool) {
 	if b, ok := t.own.get(k); ok {
 		return b, true
@@ -69,7 +82,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.readOnce && now.Sub(t.loggedAt[service]) >= memory
+	return !t.readToEnd.IsZero() && now.Sub(t.loggedAt[service]) >= memory
 }
 
 // read reads what was appended to the log since the last read. The pause between two reads keeps all VMs together within the rate of the
@@ -83,7 +96,8 @@
 		pause.For(ctx, t.Clock, wait)
 	}
 	t.mu.Lock()
-	t.lastRead = t.Clock.Now()
+	began := t.Clock.Now()
+	t.lastRead = began
 	from := t.next
 	t.mu.Unlock()
 	page, err := t.Log.Read(ctx, Stream, from, interval)
@@ -95,7 +109,7 @@
 		t.next = logservice.Position{Era: changed.Era}
 		return err
 	case notCreated(err):
-		t.readOnce = true
+		t.readToEnd = began
 		return nil
 	case err != nil:
 		return err
@@ -111,7 +125,14 @@
 		Era:    page.Era,
 		Offset: page.Next,
 	}
-	t.readOnce = t.readOnce || page.End == 0 || page.Next >= page.End
+	if page.First > from.Offset {
+		// Nothing was read: the records up to there have expired.
+		t.lastRead = time.Time{}
+		return nil
+	}
+	if page.Next >= page.End {
+		t.readToEnd = began
+	}
 	return nil
 }
 
--- a/internal/origin/mix.go
+++ b/internal/origin/mix.go
@@ -68,6 +68,18 @@
 	return releases
 }
 
+// anyWithin reports whether any service had several releases within a period.
+func (m *mixes) anyWithin(period time.Duration, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, seen := range m.services {
+		if !seen.until.IsZero() && now.Sub(seen.until) < period {
+			return true
+		}
+	}
+	return false
+}
+
 // mixedWithin reports whether the service had several releases within a period, as far as was observed here.
 func (m *mixes) mixedWithin(service string, period time.Duration, now time.Time) bool {
 	m.mu.Lock()
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -22,10 +23,18 @@
 
 	// memory is how long after its start a stream may be taken up: longer than any caller waits.
 	memory = 30 * time.Second
-	// reportInterval is the pause between two reports of streams, and between two appends.
-	reportInterval = 60 * time.Millisecond
+	// minReportInterval is the pause between two reports of streams, reportIntervalPerVM the same for each VM of the system, and
+	// idleInterval that between two looks at the releases while there is nothing to report.
+	minReportInterval   = 20 * time.Millisecond
+	reportIntervalPerVM = 400 * time.Microsecond
+	idleInterval        = 200 * time.Millisecond
+	// appendInterval is the pause between two appends by the lease holder, maxAppends how many may be under way.
+	appendInterval = 40 * time.Millisecond
+	maxAppends     = 8
 	// lookupTimeout is how long the record of a stream is awaited: reports take two intervals, an append and the way.
 	lookupTimeout = 400 * time.Millisecond
+	// maxLookupTime is how long a read of the log is awaited.
+	maxLookupTime = 2 * time.Second
 	// minReadInterval is the pause between two reads of the log by one VM, readIntervalPerVM the same for each VM of the system.
 	minReadInterval   = 50 * time.Millisecond
 	readIntervalPerVM = 5 * time.Millisecond
@@ -78,6 +87,9 @@
 	others *index
 	// reads lets requests that look for streams share a read of the log.
 	reads singleflight.Group
+	// appends waits for the appends under way, of which there are appending.
+	appends   sync.WaitGroup
+	appending atomic.Int32
 
 	mu sync.Mutex
 	// outgoing are the streams to be reported, reported those that were within confirmTime, over the link with number link, and
@@ -90,8 +102,8 @@
 	// next is the position of the next read, lastRead when the last one began.
 	next     logservice.Position
 	lastRead time.Time
-	// readOnce is set once the log was read to its end.
-	readOnce bool
+	// readToEnd is when the last read began that reached the end of the log.
+	readToEnd time.Time
 	// loggedAt is the time of the newest batch of each service in the log.
 	loggedAt map[string]time.Time
 }
@@ -132,18 +144,33 @@
 	t.received = append(t.received, batches...)
 }
 
-// Run reports the streams that began here and appends what other VMs reported, until the context ends.
+// Run reports the streams that began here and appends what other VMs reported, until the context ends. Then it reports once more.
 func (t *Tracker) Run(ctx context.Context) error {
-	for {
+	finalCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	// Callers may take up streams as soon as this VM is ready.
+	t.reads.DoChan("", func() (any, error) { return nil, t.read(finalCtx) })
+	for ctx.Err() == nil {
 		t.observe()
-		t.report(ctx)
-		if !pause.For(ctx, t.Clock, reportInterval) {
-			t.observe()
-			finalCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
-			defer cancel()
-			t.report(finalCtx)
-			return nil
-		}
+		t.report(finalCtx)
+		pause.For(ctx, t.Clock, t.interval())
+	}
+	t.report(finalCtx)
+	timer := t.Clock.AfterFunc(lookupTimeout, cancel)
+	defer timer.Stop()
+	t.appends.Wait()
+	return nil
+}
+
+// interval returns the pause until the next report.
+func (t *Tracker) interval() time.Duration {
+	switch {
+	case !t.mixes.anyWithin(memory, t.Clock.Now()):
+		return idleInterval
+	case t.Peers.HoldsLease():
+		return appendInterval
+	default:
+		return max(minReportInterval, time.Duration(t.Peers.VMs())*reportIntervalPerVM)
 	}
 }
 
@@ -175,18 +202,23 @@
 		t.lastAppend = now
 	}
 	t.mu.Unlock()
-	if !due {
-		t.keep(batches)
-		return
-	}
-	for len(batches) > 0 {
+	for due && len(batches) > 0 && t.appending.Load() < maxAppends {
 		n := fitRecord(batches)
-		if !t.append(ctx, batches[:n]) {
-			t.keep(batches)
-			return
-		}
+		t.startAppend(ctx, batches[:n])
 		batches = batches[n:]
 	}
+	t.keep(batches)
+}
+
+// startAppend appends batches to the log while later ones are collected, and keeps them for another time if that fails.
+func (t *Tracker) startAppend(ctx context.Context, batches []Batch) {
+	t.appending.Add(1)
+	t.appends.Go(func() {
+		defer t.appending.Add(-1)
+		if !t.append(ctx, batches) {
+			t.keep(batches)
+		}
+	})
 }
 
 // takeOutgoing returns what is to be reported. After the link has changed, this includes what the former holder may not have appended.
