orderlease: read the end of the test's stream under its lock

The method takes the lock now; callers that hold it use endLocked. The checks of the test are unchanged.

After: go test -race of the package passes.

--- a/internal/orderlease/lease_test.go
+++ b/internal/orderlease/lease_test.go
@@ -44,7 +44,15 @@
 	return s.reads, s.appends
 }
 
-func (s *stream) end() logservice.Offset { return s.first + logservice.Offset(len(s.records)) }
+// end returns the offset after the newest record.
+func (s *stream) end() logservice.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endLocked()
+}
+
+// endLocked is end for a caller that holds the lock.
+func (s *stream) endLocked() logservice.Offset { return s.first + logservice.Offset(len(s.records)) }
 
 // logClient is one VM's access to the stream.
 type logClient struct {
@@ -76,11 +84,11 @@
 	c.stream.mu.Lock()
 	defer c.stream.mu.Unlock()
 	c.stream.appends++
-	if at.Offset != c.stream.end() {
+	if at.Offset != c.stream.endLocked() {
 		if at.Era != c.stream.era {
 			return &logservice.EraChangedError{Stream: name, Era: c.stream.era}
 		}
-		return &logservice.EndMismatchError{Stream: name, End: c.stream.end()}
+		return &logservice.EndMismatchError{Stream: name, End: c.stream.endLocked()}
 	}
 	c.stream.records = append(c.stream.records, logservice.Record{Offset: at.Offset, Payload: payload})
 	close(c.stream.appended)
@@ -126,11 +134,11 @@
 	if from.Offset > 0 && from.Era != c.stream.era {
 		return logservice.Page{}, &logservice.EraChangedError{Stream: name, Era: c.stream.era}
 	}
-	if from.Offset < c.stream.first || from.Offset > c.stream.end() {
+	if from.Offset < c.stream.first || from.Offset > c.stream.endLocked() {
 		// The records from there on are gone.
 		return logservice.Page{First: c.stream.first, Next: c.stream.first, Era: c.stream.era}, nil
 	}
-	page := logservice.Page{First: c.stream.first, Next: from.Offset, Era: c.stream.era, End: c.stream.end()}
+	page := logservice.Page{First: c.stream.first, Next: from.Offset, Era: c.stream.era, End: c.stream.endLocked()}
 	for _, r := range c.stream.records {
 		if r.Offset >= from.Offset {
 			page.Records = append(page.Records, r)
