--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -48,6 +48,11 @@
 	Guard SectionGuard
 	// Origins may be nil; then a stream goes on at any runner.
 	Origins Origins
+	// Reach and Proxies may be nil; then requests are sent to runners only.
+	Reach   Reach
+	Proxies Proxies
+	// ProxyTracker keeps what is known of the VMs of Proxies; it may be nil if there are none.
+	ProxyTracker *Tracker
 	// Quotas may be nil; then no account has a limit.
 	Quotas QuotaLimiter
 	// Shedding may be empty; then priority and expected wait decide which requests are refused.
@@ -70,6 +75,9 @@
 	if d.Origins == nil {
 		d.Origins = noOrigins{}
 	}
+	if d.Reach == nil {
+		d.Reach = alwaysReached{}
+	}
 	if d.Quotas == nil {
 		d.Quotas = noQuota{}
 	}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -32,6 +32,8 @@
 	Arrived time.Time
 	// MaxWait is how long the caller will wait, counted from Arrived; 0 means that it did not say.
 	MaxWait time.Duration
+	// Proxied is set if another VM sends the request through this one.
+	Proxied *Proxied
 }
 
 // PromptSection is a section of a prompt that other requests may share.
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -30,6 +31,8 @@
 	OnHeadRead func(bytes int) error
 	// MaxConnections limits this VM's connections to the runner; 0 means no limit.
 	MaxConnections int
+	// Proxied is what another VM is told of the request that is sent through it; nil if it is sent to a runner.
+	Proxied *Proxied
 }
 
 // Response is the status and header of a runner's response, with its body to be read.
@@ -52,11 +55,21 @@
 	RetryAfter time.Duration
 	// Load is nil if the runner did not report its load.
 	Load *ReportedLoad
-	Body io.Reader
+	// Refused is set if a VM through which the request was sent refused it itself.
+	Refused *refusal.Refusal
+	// Proxy is set if the response came through another VM, unless Refused is.
+	Proxy *ProxyResult
+	Body  io.Reader
 	// Close ends the response; before the end of the body, it makes the runner stop.
 	Close func()
 }
 
+// ProxyResult tells which runner answered a request that was sent through another VM.
+type ProxyResult struct {
+	Runner  string
+	Release string
+}
+
 // declined reports whether the runner states that it did not execute the request.
 func (r *Response) declined() bool { return r.NotRun || r.Misdirected }
 
--- a/internal/dispatch/runnerstate.go
+++ b/internal/dispatch/runnerstate.go
@@ -32,8 +32,10 @@
 	updatedAt     time.Time
 	// ownAnnounced is the number of its own requests that this VM last announced to the others.
 	ownAnnounced int
-	// lastReceived is when any data last came from the runner.
+	// lastReceived is when any data last came from the runner, waitingSince is when a request was sent there while it had none of this
+	// VM.
 	lastReceived time.Time
+	waitingSince time.Time
 	// failureRate is the decaying share of failed attempts, as of failureRateAt.
 	failureRate         float64
 	failureRateAt       time.Time
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -107,6 +107,9 @@
 	defer t.mu.Unlock()
 	t.uses[use]++
 	state := t.state(use.Runner)
+	if state.ownRequests == 0 {
+		state.waitingSince = now
+	}
 	state.ownRequests++
 	state.startProbe(now)
 }
@@ -138,6 +141,26 @@
 	return now.Sub(sent)
 }
 
+// Silence returns at how many runners requests of this VM are in flight, and the shortest time for which nothing has come from one of
+// these runners while a request waited there.
+func (t *Tracker) Silence(now time.Time) (runners int, shortest time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, state := range t.runners {
+		if state.ownRequests == 0 {
+			continue
+		}
+		silence := now.Sub(state.waitingSince)
+		if state.lastReceived.After(state.waitingSince) {
+			silence = now.Sub(state.lastReceived)
+		}
+		if runners++; runners == 1 || silence < shortest {
+			shortest = silence
+		}
+	}
+	return runners, shortest
+}
+
 func (t *Tracker) loadReported(runner *roster.Runner, report ReportedLoad, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
