dispatch: send requests through another VM while no runner is in reach

Requests at a VM that reaches no runner had nowhere to go: they waited for the timeouts of connections to one runner after the other, and were refused or failed.

Change: while Reach says that this VM is cut off, an attempt goes to a VM of Proxies in place of a runner, with the machinery that attempts at runners have: standby, resumption after the last event, limits on what is held, deadlines. A VM that can't take any request is passed over, three at most; what it refuses for another reason is the caller's answer. A request that comes from another VM goes to runners only, and only with a configuration that is no older. Demand, quotas, the retry budget and evidence on prompts are each counted at one VM only. The release of a stream is sought by the VM that chooses its runner.

--- a/internal/catalog/accounts.go
+++ b/internal/catalog/accounts.go
@@ -27,6 +27,16 @@
 // Accounts returns all accounts.
 func (c *Catalog) Accounts() []Account { return c.accounts }
 
+// AccountNamed returns the account with a name.
+func (c *Catalog) AccountNamed(name string) (*Account, bool) {
+	for i := range c.accounts {
+		if c.accounts[i].Name == name {
+			return &c.accounts[i], true
+		}
+	}
+	return nil, false
+}
+
 // Account returns the account with a key. The time that it takes does not depend on the number of keys or on how much of a key is right.
 func (c *Catalog) Account(key KeyDigest) (*Account, bool) {
 	account, ok := c.accountsByKey[key]
--- a/internal/dispatch/account.go
+++ b/internal/dispatch/account.go
@@ -22,7 +22,13 @@
 // needed.
 func (c *call) identify(current *catalog.Catalog) *refusal.Refusal {
 	c.accountsConfigured = current.HasAccounts()
-	if key := c.request.Identity.Key; c.accountsConfigured && !key.IsZero() {
+	if proxied := c.request.Proxied; proxied != nil && proxied.Account != "" {
+		account, known := current.AccountNamed(proxied.Account)
+		if !known {
+			return refusal.New(http.StatusUnauthorized, refusal.UnknownAccount, "the account is unknown")
+		}
+		c.account = account
+	} else if key := c.request.Identity.Key; c.accountsConfigured && !key.IsZero() {
 		account, known := current.Account(key)
 		if !known {
 			return refusal.New(http.StatusUnauthorized, refusal.UnknownAccount, "the API key is unknown")
@@ -38,7 +44,7 @@
 
 // takeQuota takes the request's cost from the quota of its account.
 func (c *call) takeQuota() *refusal.Refusal {
-	if c.account == nil || !c.account.Quota.Limited() {
+	if c.account == nil || !c.account.Quota.Limited() || c.request.Proxied != nil {
 		return nil
 	}
 	cost := c.account.Quota.Cost(statedTokens(c.request))
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -28,11 +28,13 @@
 	maxEventTime = 2 * time.Second
 )
 
-// attempt sends a request to one runner and receives the response.
+// attempt sends a request to one runner, or through one other VM, and receives the response.
 type attempt struct {
 	pick choice
-	use  roster.ModelUse
-	sent time.Time
+	// tracker keeps what is known of the runner, or of the VM through which the request is sent.
+	tracker *Tracker
+	use     roster.ModelUse
+	sent    time.Time
 	// lastUpdate is when the newest update that was handled had arrived, or when the request was sent.
 	lastUpdate time.Time
 	cancel     context.CancelCauseFunc
@@ -96,7 +98,8 @@
 	needs := c.requirements()
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{
-		pick: pick,
+		pick:    pick,
+		tracker: c.trackerOf(pick),
 		use: roster.ModelUse{
 			Runner:  pick.runner.ID,
 			Model:   needs.model,
@@ -111,11 +114,11 @@
 	}
 	c.tried = append(c.tried, pick.runner.ID)
 	c.attempts++
-	c.d.Tracker.requestSent(a.use, now)
+	a.tracker.requestSent(a.use, now)
 	a.share = c.d.Buffers.Share(func(evicted *buffer.EvictedError) { c.evict(a, evicted) })
-	parameters := c.newAttempt(pick.runner)
+	parameters := c.newAttempt(pick)
 	parameters.OnHeadRead = a.holdHead
-	go a.receive(ctx, c.d.Sender, c.d.Clock, c.request, parameters)
+	go a.receive(ctx, c.senderFor(pick), c.d.Clock, c.request, parameters)
 	return a
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -10,7 +10,6 @@
 	"github.com/cowsliparch/cowsliparch/internal/patience"
 	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
-	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
 const (
@@ -64,8 +63,12 @@
 	delivered int
 	// lastEventID is the ID of the last event that the caller has.
 	lastEventID string
-	// release is that of the runners that can go on with the stream, nil if any can.
-	release *string
+	// release is that of the runners that can go on with the stream, nil if any can. releaseSought is set once it was looked up.
+	release       *string
+	releaseSought bool
+	// proxiesDeclined counts the VMs that could not take the request; proxy is the one whose response is passed on, if any.
+	proxiesDeclined int
+	proxy           string
 	// status and contentType are those that the caller received; a resumed stream keeps those of its first response.
 	status      int
 	contentType string
@@ -136,6 +139,16 @@
 	if refused := c.quarantineRefusal(); refused != nil {
 		return choice{}, refused
 	}
+	if c.usesProxy() {
+		return c.pickProxy()
+	}
+	refused := c.findRelease(ctx)
+	if ctx.Err() != nil {
+		return choice{}, nil
+	}
+	if refused != nil {
+		return choice{}, refused
+	}
 	needs := c.requirements()
 	pick := c.d.Tracker.choose(c.d.Roster(), needs, c.d.Clock.Now())
 	if pick.runner == nil && pick.withModel == 0 && needs.model != "" && needs.release == nil {
@@ -166,7 +179,7 @@
 
 // underWay reports whether the request was sent to a runner, or goes on with a stream that was. Expected waits over all runners do not
 // apply to such a stream, for which only those of its release count.
-func (c *call) underWay() bool { return len(c.tried) > 0 || c.release != nil }
+func (c *call) underWay() bool { return len(c.tried) > 0 || c.release != nil || c.mayHaveRun }
 
 // loadTime returns how long it takes until one more runner has loaded a model.
 func (c *call) loadTime(name string) time.Duration {
@@ -222,11 +235,11 @@
 	if c.attempts >= c.route.MaxAttempts || c.barred() || !c.d.RetryBudget.RetryAllowed(c.service.Name, now) {
 		return false
 	}
-	return c.d.Tracker.choose(c.d.Roster(), c.requirements(), now).runner != nil
+	return c.choose().runner != nil
 }
 
 // newAttempt returns the parameters of the next attempt.
-func (c *call) newAttempt(runner *roster.Runner) Attempt {
+func (c *call) newAttempt(pick choice) Attempt {
 	a := Attempt{
 		Remaining:    c.deadline.Sub(c.d.Clock.Now()),
 		ResumeAfter:  c.lastEventID,
@@ -235,7 +248,11 @@
 		PassIdentity: !c.accountsConfigured,
 		Fresh:        !c.route.Idempotent() || c.attempts > 1,
 	}
-	if c.service.MaxConnections > 0 && runner != nil {
+	if pick.proxied {
+		a.Proxied = c.proxied()
+		return a
+	}
+	if c.service.MaxConnections > 0 {
 		a.MaxConnections = max(c.service.MaxConnections*connectionPercent/100/max(c.d.VMs(), 1), minConnections)
 	}
 	return a
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -15,9 +15,11 @@
 	maxCandidates = 32
 )
 
-// choice is the runner chosen for an attempt, with the figures behind the choice.
+// choice is the runner or the VM chosen for an attempt, with the figures behind the choice.
 type choice struct {
-	runner   *roster.Runner
+	runner *roster.Runner
+	// proxied is set if runner is another VM, through which the request is to be sent.
+	proxied  bool
 	score    time.Duration
 	inFlight int
 	loadAge  time.Duration
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -113,6 +113,9 @@
 			WithRetryAfter(notReadyRetryAfter)
 	}
 	c.version = current.Version
+	if refused := c.admitProxied(current); refused != nil {
+		return refused
+	}
 	route, ok := current.Match(c.request.Host, c.request.Path)
 	if !ok {
 		return refusal.New(http.StatusNotFound, refusal.UnknownService, "no route leads from "+c.request.Host+c.request.Path)
@@ -125,15 +128,24 @@
 	if refused := c.takeQuota(); refused != nil {
 		return refused
 	}
-	if c.service.Engine != nil && c.request.Model != "" {
-		c.d.Demand.RecordRequest(c.service.Name, c.request.Model, c.request.Adapter)
-	}
-	c.d.RetryBudget.RecordRequest(c.service.Name, c.d.Clock.Now())
+	c.recordDemand()
 	c.deadline = c.request.Arrived.Add(c.timeout())
 	c.lastEventID = c.request.ResumeAfter
 	return nil
 }
 
+// recordDemand counts the request. Of one that is sent through another VM, the VM that got it from the caller counts the demand, and the
+// other one, which makes the retries, counts it for the retry budget.
+func (c *call) recordDemand() {
+	proxied := c.request.Proxied
+	if c.service.Engine != nil && c.request.Model != "" && proxied == nil {
+		c.d.Demand.RecordRequest(c.service.Name, c.request.Model, c.request.Adapter)
+	}
+	if !c.usesProxy() && (proxied == nil || proxied.Attempts == 0) {
+		c.d.RetryBudget.RecordRequest(c.service.Name, c.d.Clock.Now())
+	}
+}
+
 // timeout returns the route's timeout, or the time that the caller will wait if that is shorter.
 func (c *call) timeout() time.Duration {
 	timeout := c.route.Timeout
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -23,6 +23,7 @@
 	resumedStreams *prometheus.CounterVec
 	accounts       *prometheus.CounterVec
 	shed           *prometheus.CounterVec
+	proxied        *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics registered with the registerer.
@@ -67,7 +68,11 @@
 		Name: "cowsliparch_requests_shed_total",
 		Help: "Requests that were delayed or refused because of a lack of capacity, by rank and reason.",
 	}, []string{"service", "rank", "action", "reason"})
-	r.MustRegister(m.requests, m.onTime, m.paused, m.firstByte, m.duration, m.failedSends, m.resumedStreams, m.accounts, m.shed)
+	m.proxied = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cowsliparch_proxied_requests_total",
+		Help: "Requests sent through another VM (direction Out), or for another one (In), by outcome.",
+	}, []string{"direction", "outcome"})
+	r.MustRegister(m.requests, m.onTime, m.paused, m.firstByte, m.duration, m.failedSends, m.resumedStreams, m.accounts, m.shed, m.proxied)
 	return m
 }
 
@@ -95,6 +100,16 @@
 	}
 }
 
+// proxiedEnded counts a request that was sent through another VM, or for another one.
+func (m *Metrics) proxiedEnded(c *call) {
+	switch {
+	case c.request.Proxied != nil:
+		m.proxied.WithLabelValues("In", string(c.outcome)).Inc()
+	case c.pick.proxied:
+		m.proxied.WithLabelValues("Out", string(c.outcome)).Inc()
+	}
+}
+
 func (m *Metrics) sendFailed(service string) { m.failedSends.WithLabelValues(service).Inc() }
 
 func (m *Metrics) streamResumed(service string) { m.resumedStreams.WithLabelValues(service).Inc() }
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -32,9 +32,10 @@
 // findRelease finds the release at which a stream that the caller takes up may go on. A stream of an unknown release is refused, because
 // runners of another one would go on with it as if it were theirs.
 func (c *call) findRelease(ctx context.Context) *refusal.Refusal {
-	if c.request.ResumeAfter == "" || !c.resumable() {
+	if c.releaseSought || c.release != nil || c.request.ResumeAfter == "" || !c.resumable() {
 		return nil
 	}
+	c.releaseSought = true
 	found := c.d.Origins.Lookup(ctx, c.service.Name, c.request.Resumes)
 	switch {
 	case found.Known:
@@ -53,12 +54,20 @@
 	if c.release != nil || !c.resumable() || !c.streams(a.response) {
 		return
 	}
-	c.release = &a.pick.runner.Release
+	runner := a.pick.runner
+	if answered := a.response.Proxy; answered != nil {
+		runner = &roster.Runner{
+			ID:      answered.Runner,
+			Service: c.service.Name,
+			Release: answered.Release,
+		}
+	}
+	c.release = &runner.Release
 	id := c.request.ID
 	if c.request.ResumeAfter != "" && c.request.Resumes != "" {
 		id = c.request.Resumes
 	}
-	c.d.Origins.RecordStart(id, a.pick.runner)
+	c.d.Origins.RecordStart(id, runner)
 }
 
 func (c *call) resumable() bool { return c.route.Kind == catalog.Streaming && c.route.Resumable }
--- a/internal/dispatch/proxy.go
+++ b/internal/dispatch/proxy.go
@@ -1,9 +1,25 @@
 package dispatch
 
 import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cowsliparch/cowsliparch/internal/catalog"
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
+const (
+	// maxProxies is how many VMs may decline a request before it is refused.
+	maxProxies = 3
+	// proxyRetryAfter is when a caller should come back whose request no VM can send to a runner.
+	proxyRetryAfter = time.Second
+	// cutOffSilence is the silence of a runner after which a request is sent through another VM while this one reaches no runner.
+	cutOffSilence = 400 * time.Millisecond
+)
+
 // Reach tells whether this VM reaches the runners. Its methods don't block and are safe for concurrent use.
 type Reach interface {
 	// RecordFailure records that a connection to a runner could not be opened, or broke off before a response.
@@ -55,3 +71,154 @@
 
 // Lost implements Reach.
 func (alwaysReached) Lost() <-chan struct{} { return nil }
+
+// usesProxy reports whether the next attempt is to be sent through another VM. A request that came from another VM goes no further.
+func (c *call) usesProxy() bool {
+	return c.d.Proxies != nil && c.request.Proxied == nil && c.d.Reach.CutOff()
+}
+
+// lost returns a channel that is closed when the runner of the current attempt gets out of reach, or nil if there is no such moment to wait
+// for.
+func (c *call) lost() <-chan struct{} {
+	if c.d.Proxies == nil || c.request.Proxied != nil || c.current.pick.proxied || c.d.Reach.CutOff() {
+		return nil
+	}
+	return c.d.Reach.Lost()
+}
+
+// choose chooses where to send the next attempt, without recording what is missing.
+func (c *call) choose() choice {
+	now := c.d.Clock.Now()
+	if c.usesProxy() {
+		return c.chooseProxy(now)
+	}
+	if c.current != nil && c.current.pick.proxied && c.release == nil && c.request.ResumeAfter != "" && !c.releaseSought {
+		// Only the VM of the current attempt has looked for the release of the stream.
+		return choice{}
+	}
+	return c.d.Tracker.choose(c.d.Roster(), c.requirements(), now)
+}
+
+func (c *call) chooseProxy(now time.Time) choice {
+	pick := c.d.ProxyTracker.choose(c.d.Proxies.VMs(), requirements{
+		service: ProxyService,
+		tried:   c.tried,
+	}, now)
+	pick.proxied = true
+	return pick
+}
+
+// pickProxy chooses the VM through which the next attempt is sent.
+func (c *call) pickProxy() (choice, *refusal.Refusal) {
+	pick := c.chooseProxy(c.d.Clock.Now())
+	c.pick = pick
+	if pick.runner != nil && c.proxiesDeclined < maxProxies {
+		return pick, nil
+	}
+	message := "this VM reaches no runner, and no VM that does takes the request"
+	if c.mayHaveRun {
+		return pick, refusal.New(http.StatusBadGateway, refusal.OutOfReach, message).WithRan(refusal.Unknown)
+	}
+	return pick, refusal.New(http.StatusServiceUnavailable, refusal.OutOfReach, message).WithRetryAfter(c.retryAfter(proxyRetryAfter))
+}
+
+// proxied returns what the VM through which the next attempt is sent is told of the request.
+func (c *call) proxied() *Proxied {
+	return &Proxied{
+		Version:  c.version,
+		Account:  c.accountName(),
+		Attempts: c.attempts - 1,
+		Release:  c.release,
+	}
+}
+
+// trackerOf returns the tracker of the runner or the VM of a choice.
+func (c *call) trackerOf(pick choice) *Tracker {
+	if pick.proxied {
+		return c.d.ProxyTracker
+	}
+	return c.d.Tracker
+}
+
+// senderFor returns the sender to the runner or the VM of a choice.
+func (c *call) senderFor(pick choice) Sender {
+	if pick.proxied {
+		return c.d.Proxies
+	}
+	return c.d.Sender
+}
+
+// admitProxied takes over the state of a request that another VM sends through this one, or refuses it as not run: if this VM reaches no
+// runner either, or if it does not have the configuration yet by which the other one took the request.
+func (c *call) admitProxied(current *catalog.Catalog) *refusal.Refusal {
+	proxied := c.request.Proxied
+	if proxied == nil {
+		return nil
+	}
+	c.attempts, c.mayHaveRun = proxied.Attempts, proxied.Attempts > 0
+	c.release = proxied.Release
+	switch {
+	case c.d.Reach.CutOff():
+		return refusal.New(http.StatusServiceUnavailable, refusal.OutOfReach, "this VM reaches no runner")
+	case current.Version < proxied.Version:
+		return refusal.New(http.StatusServiceUnavailable, refusal.NotReady, "this VM has an earlier configuration")
+	default:
+		return nil
+	}
+}
+
+// handleProxyRefusal handles the refusal of a VM through which the request was sent. One that can't take any request is passed over; what
+// another one refuses, it refuses for the caller.
+func (c *call) handleProxyRefusal(a *attempt) (bool, *refusal.Refusal) {
+	refused := a.response.Refused
+	a.drain(c.d.Clock)
+	c.recordSendFailure(a.pick, refused)
+	if refused.Ran != refusal.NotRun {
+		c.mayHaveRun = true
+		c.end(a)
+		return !c.inProgress(), refused
+	}
+	c.attempts--
+	c.proxiesDeclined++
+	if unavailable(refused) {
+		a.tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+		c.end(a)
+		return false, nil
+	}
+	c.end(a)
+	if c.inProgress() {
+		return false, nil
+	}
+	if c.mayHaveRun {
+		return true, refusal.New(http.StatusBadGateway, refused.Code, refused.Message).WithRan(refusal.Unknown)
+	}
+	return true, refused
+}
+
+// unavailable reports whether a VM refused a request for a reason of its own, so that another one may take it.
+func unavailable(refused *refusal.Refusal) bool {
+	switch refused.Code {
+	case refusal.OutOfReach, refusal.NotReady, refusal.Stopping, refusal.TooManyCalls:
+		return true
+	default:
+		return false
+	}
+}
+
+// recordReachFailure records an attempt that failed because its connection could not be opened or broke off.
+func (c *call) recordReachFailure(a *attempt, err error) {
+	var notSent *endpoint.NotSentError
+	if !a.pick.proxied && (errors.As(err, &notSent) || brokenOff(err)) {
+		c.d.Reach.RecordFailure(a.pick.runner)
+	}
+}
+
+// observeRunner notes which runner answers a request that was sent through another VM, and tells the caller if it wants to know.
+func (c *call) observeRunner(a *attempt) {
+	if answered := a.response.Proxy; answered != nil {
+		c.proxy, c.runner = a.pick.runner.ID, answered.Runner
+	}
+	if observer, ok := c.caller.(RunnerObserver); ok {
+		observer.ObserveRunner(a.pick.runner)
+	}
+}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -61,6 +61,12 @@
 	if c.account != nil {
 		attrs = append(attrs, slog.String("Account", c.account.Name))
 	}
+	if c.proxy != "" {
+		attrs = append(attrs, slog.String("Proxy", c.proxy))
+	}
+	if c.request.Proxied != nil {
+		attrs = append(attrs, slog.String("ProxiedFor", c.request.Proxied.VM))
+	}
 	if c.pick.pace > 0 {
 		attrs = append(attrs, slog.Int("Pace", c.pick.pace))
 	}
@@ -69,7 +75,10 @@
 		attrs = append(attrs, slog.String("Reason", c.reason))
 	}
 	c.endEvent().Log(c.d.Logger, attrs...)
-	c.d.Metrics.requestEnded(c, now)
+	c.d.Metrics.proxiedEnded(c)
+	if c.request.Proxied == nil {
+		c.d.Metrics.requestEnded(c, now)
+	}
 }
 
 func (c *call) endEvent() event.Event {
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -152,6 +152,9 @@
 	if c.responseStarted && !a.begun {
 		c.recordResume(a.pick)
 	}
+	if !a.begun {
+		c.observeRunner(a)
+	}
 	a.begun = true
 	c.bindRelease(a)
 	c.recordWrite(c.d.Clock.Now())
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -30,13 +30,6 @@
 	deadline := c.d.Clock.AfterFunc(c.deadline.Sub(c.d.Clock.Now())+deadlineGrace, func() { cancel(errDeadline) })
 	defer deadline.Stop()
 	defer c.endAttempts()
-	refused := c.findRelease(ctx)
-	if ctx.Err() != nil {
-		return c.handleCancel(ctx)
-	}
-	if refused != nil {
-		return refused
-	}
 	for {
 		if c.current == nil {
 			if refused := c.startNext(ctx); refused != nil {
@@ -76,10 +69,12 @@
 // caller.
 func (c *call) awaitUpdate(ctx context.Context) (bool, *refusal.Refusal) {
 	var silence <-chan time.Time
+	var lost <-chan struct{}
 	if c.standby == nil && c.route.Idempotent() {
 		timer := c.d.Clock.NewTimer(c.untilSilent())
 		defer timer.Stop()
 		silence = timer.Chan()
+		lost = c.lost()
 	}
 	select {
 	case u := <-c.current.updates:
@@ -88,6 +83,8 @@
 		return c.handleUpdate(ctx, c.standby, u)
 	case <-silence:
 		c.startStandby(ctx)
+	case <-lost:
+		c.startStandby(ctx)
 	case <-ctx.Done():
 	}
 	return false, nil
@@ -105,6 +102,9 @@
 // silenceLimit returns how long the current runner may send nothing to this VM before another one is tried. A runner that is
 // merely busy still responds to other requests.
 func (c *call) silenceLimit() time.Duration {
+	if !c.current.pick.proxied && c.usesProxy() {
+		return cutOffSilence
+	}
 	if c.current.response != nil && c.streams(c.current.response) {
 		return streamSilence
 	}
@@ -112,7 +112,7 @@
 }
 
 func (c *call) silentFor() time.Duration {
-	return c.d.Tracker.silentFor(c.current.pick.runner, c.current.lastUpdate, c.d.Clock.Now())
+	return c.current.tracker.silentFor(c.current.pick.runner, c.current.lastUpdate, c.d.Clock.Now())
 }
 
 // startStandby begins a second attempt if the runner of the current one has been silent for too long, or has been sending the
@@ -121,7 +121,7 @@
 	if c.silentFor() < c.silenceLimit() && !c.current.eventOverdue(c.d.Clock.Now()) || c.barred() {
 		return
 	}
-	pick := c.d.Tracker.choose(c.d.Roster(), c.requirements(), c.d.Clock.Now())
+	pick := c.choose()
 	if pick.runner == nil || !c.takeRetry() {
 		return
 	}
@@ -132,7 +132,7 @@
 func (c *call) prefer(a *attempt) {
 	if a == c.standby {
 		c.recordSendFailure(c.current.pick, errSilent)
-		c.d.Tracker.recordResult(c.current.pick.runner, false, c.d.Clock.Now())
+		c.current.tracker.recordResult(c.current.pick.runner, false, c.d.Clock.Now())
 		c.end(c.current)
 		c.current = a
 		c.recordRunner(a)
@@ -145,7 +145,7 @@
 // end ends an attempt and frees its place.
 func (c *call) end(a *attempt) {
 	a.close()
-	c.d.Tracker.requestEnded(a.use)
+	a.tracker.requestEnded(a.use)
 	switch a {
 	case c.current:
 		c.current = nil
--- a/internal/dispatch/sections.go
+++ b/internal/dispatch/sections.go
@@ -39,7 +39,7 @@
 
 // recordStrike records that the connection to a runner broke off.
 func (c *call) recordStrike(a *attempt, err error) {
-	if c.service.Engine != nil && brokenOff(err) {
+	if c.service.Engine != nil && !a.pick.proxied && brokenOff(err) {
 		c.d.Guard.RecordStrike(a.pick.runner, c.request.PromptSections, a.progress, a.lastUpdate)
 	}
 }
@@ -52,6 +52,9 @@
 		return
 	}
 	c.sound = c.sound || p.Sound()
+	if a.pick.proxied {
+		return
+	}
 	c.d.Guard.RecordAnswer(c.request.PromptSections, p)
 }
 
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -26,7 +26,7 @@
 	switch {
 	case a.response != nil:
 		if len(u.data) > 0 {
-			c.d.Tracker.dataReceived(a.pick.runner, a.lastUpdate)
+			a.tracker.dataReceived(a.pick.runner, a.lastUpdate)
 		}
 		return c.handleBody(ctx, a, u)
 	case u.err != nil:
@@ -40,10 +40,13 @@
 func (c *call) handleHead(a *attempt, response *Response) (bool, *refusal.Refusal) {
 	a.response = response
 	a.headBytes = headSize(response.Header)
-	c.d.Tracker.dataReceived(a.pick.runner, a.lastUpdate)
-	c.d.Tracker.responseReceived(a.pick.runner, response, a.lastUpdate)
+	a.tracker.dataReceived(a.pick.runner, a.lastUpdate)
+	a.tracker.responseReceived(a.pick.runner, response, a.lastUpdate)
 	if response.Load != nil {
-		c.d.Tracker.loadReported(a.pick.runner, *response.Load, a.lastUpdate)
+		a.tracker.loadReported(a.pick.runner, *response.Load, a.lastUpdate)
+	}
+	if response.Refused != nil {
+		return c.handleProxyRefusal(a)
 	}
 	if response.declined() {
 		return c.handleDecline(a)
@@ -90,13 +93,17 @@
 		c.end(a)
 		return false, nil
 	}
-	c.d.Tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+	a.tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+	c.recordReachFailure(a, err)
 	var notSent *endpoint.NotSentError
 	if errors.As(err, &notSent) {
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && !a.pick.proxied {
 			c.d.Guard.RecordUnreachable(a.pick.runner)
 		}
 		c.attempts--
+		if a.pick.proxied {
+			c.proxiesDeclined++
+		}
 		c.end(a)
 		return false, nil
 	}
@@ -108,7 +115,8 @@
 // handleBreak handles a response that ended early, or that can't be passed on.
 func (c *call) handleBreak(a *attempt, err error) (bool, *refusal.Refusal) {
 	c.recordSendFailure(a.pick, &endpoint.TruncatedError{Cause: err})
-	c.d.Tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+	a.tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+	c.recordReachFailure(a, err)
 	c.recordStrike(a, err)
 	return c.retryOrFail(a, "the answer broke off")
 }
@@ -133,7 +141,7 @@
 	if a.response.Misdirected && c.request.Model != "" {
 		c.d.Tracker.Observe(a.pick.runner.ID, c.request.Model, c.request.Adapter, false, a.lastUpdate, modelAbsentTTL)
 	} else {
-		c.d.Tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+		a.tracker.recordResult(a.pick.runner, false, a.lastUpdate)
 	}
 	c.end(a)
 	if c.inProgress() || c.takeRetry() {
@@ -160,10 +168,10 @@
 func (c *call) handleErrorStatus(a *attempt) (bool, *refusal.Refusal) {
 	misleading := refusal.StatesNotRun(a.response.Status)
 	failed := misleading || a.response.Status >= http.StatusInternalServerError
-	c.d.Tracker.recordServerError(a.pick.runner, failed, a.lastUpdate)
+	a.tracker.recordServerError(a.pick.runner, failed, a.lastUpdate)
 	replaced := false
 	if !c.responseStarted && a == c.current {
-		replaced = c.replaceable(failed)
+		replaced = c.replaceable(a, failed)
 		if !replaced && !misleading {
 			return false, nil
 		}
@@ -182,23 +190,23 @@
 }
 
 // replaceable reports whether a request whose current runner failed it goes on with another one. The retry is taken before the
-// response is given up.
-func (c *call) replaceable(failed bool) bool {
-	return failed && (c.standby != nil || (c.route.Idempotent() && c.hasAlternative() && c.takeRetry()))
+// response is given up. A VM through which the request was sent has tried other runners already.
+func (c *call) replaceable(a *attempt, failed bool) bool {
+	return failed && (c.standby != nil || (!a.pick.proxied && c.route.Idempotent() && c.hasAlternative() && c.takeRetry()))
 }
 
 // recordAnswered records how long a runner took for a response that was received to its end.
 func (c *call) recordAnswered(a *attempt) {
 	now := c.d.Clock.Now()
 	c.outcome = Answered
-	c.d.Tracker.recordResult(a.pick.runner, true, now)
+	a.tracker.recordResult(a.pick.runner, true, now)
 	took := c.serviceTime(a.sent)
-	c.d.Tracker.recordServiceTime(c.service.Name, time.Duration(float64(took)/a.pick.paceFactor))
+	a.tracker.recordServiceTime(a.pick.runner.Service, time.Duration(float64(took)/a.pick.paceFactor))
 	if c.attempts == 1 {
-		c.d.Tracker.recordPauses(c.service.Name, c.pauseRequirement(), c.longestGap, a.pick.pace, now)
+		a.tracker.recordPauses(c.service.Name, c.pauseRequirement(), c.longestGap, a.pick.pace, now)
 	}
 	c.recordServed(took)
-	if c.request.Model != "" {
+	if c.request.Model != "" && !a.pick.proxied {
 		c.d.Demand.RecordDuration(c.service.Name, c.request.Model, now.Sub(a.sent), c.late())
 	}
 }
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -54,6 +54,7 @@
 	QuarantinedPrompt  Code = "QuarantinedPrompt"
 	ReleaseUnknown     Code = "ReleaseUnknown"
 	ReleaseGone        Code = "ReleaseGone"
+	OutOfReach         Code = "OutOfReach"
 	UnknownAccount     Code = "UnknownAccount"
 	OverQuota          Code = "OverQuota"
 )
