reach: tell when this VM reaches no runner

VMs that are partitioned from all runners for seconds went on sending requests that nobody could answer.

Change: package reach raises a suspicion when all runners with requests are silent, or when connections fail at several, and decides by probing runners of several services and domains. The decision is pure; Monitor does the probes, with connections that outbound.Pool.Open keeps for requests. Events 2005 and 2006 and the gauge cowsliparch_cut_off show it. The dispatcher gets it as its Reach; it doesn't ask it yet.

The tests of the packages pass with -race.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -52,6 +52,8 @@
 	RunnerChanged         = Event{Number: 2002, Name: "RunnerChanged", Level: slog.LevelInfo, Meaning: "A runner's registration changed.", Action: "None."}
 	RunnerRemoved         = Event{Number: 2003, Name: "RunnerRemoved", Level: slog.LevelInfo, Meaning: "A runner's registration was removed; it gets no more requests or orders.", Action: "None."}
 	ReleasesMixed         = Event{Number: 2004, Name: "ReleasesMixed", Level: slog.LevelInfo, Meaning: "The runners of `Service` have several releases of their software, or changed to another one; a stream goes on only at its own release.", Action: "None; see the section on several releases in OPERATIONS.md."}
+	RunnersOutOfReach     = Event{Number: 2005, Name: "RunnersOutOfReach", Level: slog.LevelWarn, Meaning: "This VM reaches no runner: `Silent` runners sent nothing for `SilenceMS`, or connections to `Failed` runners failed, and so did all `Probes`, within `AfterMS`.", Action: "Check the network between this VM and the runners, unless the runners are down."}
+	RunnersReached        = Event{Number: 2006, Name: "RunnersReached", Level: slog.LevelInfo, Meaning: "This VM opened connections to runners again, or no runner is registered any more (`Registered` is 0), `LastedMS` after event 2005.", Action: "None."}
 	OrderAccepted         = Event{Number: 3201, Name: "OrderAccepted", Level: slog.LevelInfo, Meaning: "A runner accepted an order.", Action: "None."}
 	OrderDeclined         = Event{Number: 3202, Name: "OrderDeclined", Level: slog.LevelInfo, Meaning: "A runner declined an order because another order is in progress, its order count differs or the fencing token is outdated.", Action: "None."}
 	OrderLost             = Event{Number: 3203, Name: "OrderLost", Level: slog.LevelWarn, Meaning: "An order was not answered and may still be carried out; the next accepted order voids it.", Action: "None."}
@@ -81,7 +83,7 @@
 		CallUnknown, ClaimsUnavailable,
 		AnswerCut, AnswerResumed, ForeignAnswerDropped,
 		CallAnswered, CallRefused, CallFailed, CallAborted, CallerLeft, SendFailed, StreamResumed, ResponseEvicted, CallersRefused,
-		RunnerRegistered, RunnerChanged, RunnerRemoved, ReleasesMixed,
+		RunnerRegistered, RunnerChanged, RunnerRemoved, ReleasesMixed, RunnersOutOfReach, RunnersReached,
 		SettingsReloaded, SettingsUnusable, LinesDropped,
 		SectionSuspected, SectionQuarantined, SectionReleased,
 		QuotaGrantExpired, QuotaGranted,
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -114,7 +114,22 @@
 		}
 		c.close()
 	}
-	address := target.Address
+	return p.dial(ctx, target.Address)
+}
+
+// Open opens a connection to an address and keeps it idle for requests. It fails with endpoint.NotSentError.
+func (p *Pool) Open(ctx context.Context, address string) error {
+	p.reserveSlot(address)
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.putIdle(address, c)
+	return nil
+}
+
+// dial opens a connection that is already counted as open.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	socket, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.releaseSlot(address)
@@ -131,11 +146,7 @@
 func (p *Pool) takeIdle(target Target) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h, ok := p.hosts[target.Address]
-	if !ok {
-		h = &hostConns{}
-		p.hosts[target.Address] = h
-	}
+	h := p.host(target.Address)
 	now := p.clock.Now()
 	for i := len(h.idle) - 1; i >= 0; i-- {
 		c := h.idle[i]
@@ -164,6 +175,24 @@
 	return nil, nil
 }
 
+// host returns the connections to an address; the caller holds the lock.
+func (p *Pool) host(address string) *hostConns {
+	h, ok := p.hosts[address]
+	if !ok {
+		h = &hostConns{}
+		p.hosts[address] = h
+	}
+	return h
+}
+
+// reserveSlot counts a new connection to an address as open.
+func (p *Pool) reserveSlot(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.host(address).open++
+	p.opened++
+}
+
 // putIdle makes a connection available for reuse.
 func (p *Pool) putIdle(address string, c *conn) {
 	p.mu.Lock()
--- a/internal/serving/http.go
+++ b/internal/serving/http.go
@@ -108,5 +108,11 @@
 		}
 		return 0
 	})
+	gauge("cowsliparch_cut_off", "1 while this VM reaches no runner.", func() float64 {
+		if s.reach.CutOff() {
+			return 1
+		}
+		return 0
+	})
 	gauge("cowsliparch_log_lines_dropped", "Log lines dropped.", func() float64 { return float64(s.LinesDropped()) })
 }
--- a/internal/serving/loops.go
+++ b/internal/serving/loops.go
@@ -46,6 +46,7 @@
 		s.watcher.WatchConfiguration,
 		s.watcher.WatchRunners,
 		s.origins.Run,
+		s.reach.Run,
 		s.lease.Run,
 		s.controller.Run,
 		s.spoke.Run,
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -24,6 +24,7 @@
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/promptguard"
+	"github.com/cowsliparch/cowsliparch/internal/reach"
 	"github.com/cowsliparch/cowsliparch/internal/registry"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 	"github.com/cowsliparch/cowsliparch/internal/settings"
@@ -53,6 +54,7 @@
 	guard        *promptguard.Guard
 	origins      *origin.Tracker
 	quotas       *quotas
+	reach        *reach.Monitor
 	stopping     atomic.Bool
 	// requests is the context of all requests of callers; cancelRequests ends it.
 	requests       context.Context
@@ -117,6 +119,7 @@
 		Logger: d.Logger,
 	})
 	s.quotas = newQuotas(d.BootClock, s.quotaAccounts)
+	s.reach = s.newReach()
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
 		Catalog:     s.catalog.Current,
 		Roster:      s.roster.View,
@@ -128,6 +131,7 @@
 		Buffers:     s.buffers,
 		Guard:       s.guard,
 		Origins:     s.origins,
+		Reach:       s.reach,
 		Quotas:      s.quotas,
 		Shedding: dispatch.Shedding{
 			ByCost:   func() bool { return s.currentSettings().Limits.Shedding == settings.SheddingByCost },
