proxy, cluster, serving: send requests through other VMs, and learn of those that can

Change: package proxy carries a request to another VM's /proxy and the response back. Requests and responses begin with a CBOR head, so that a runner's headers arrive unchanged and can't look like a refusal. The serving VM bounds number and bytes, refuses as not run while it stops, and awaits those in progress. VMs report whether they are cut off or stop; the lease holder sends those that are cut off a list of at most 16 that reach the runners. A holder that is cut off for 2 s gives up the lease if a linked VM is not.

Measured: go test -race of proxy (20 runs), cluster, serving, dispatch, platform and pkg passes. Without tracking the peer server's connections, TestProxiedRequestIsAwaitedAtStop and TestProxiedRequestAtEndOfStopIsAnswered fail.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -40,16 +40,23 @@
 
 // newPairWith returns a pair whose VMs are prepared before they are linked.
 func newPairWith(t *testing.T, prepare func(holder, other *fakeVM)) *pair {
+	t.Helper()
+	return newPairOf(t, cluster.Member{Name: "holder"}, prepare)
+}
+
+// newPairOf is like newPairWith, with a holder that is a given member at another address.
+func newPairOf(t *testing.T, member cluster.Member, prepare func(holder, other *fakeVM)) *pair {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	address := listener.Addr().String()
+	member.Address = address
 	clock := clockwork.NewRealClock()
 	p := &pair{holder: newFakeVM(), other: newFakeVM()}
 	p.holder.holdsLease = true
 	p.other.holder = address
 	prepare(p.holder, p.other)
-	p.hub = cluster.NewHub(cluster.Member{Name: "holder", Address: address}, p.holder, clock)
+	p.hub = cluster.NewHub(member, p.holder, clock)
 	p.spoke = cluster.NewSpoke(cluster.Member{Name: "other"}, p.other, clock, slog.New(slog.DiscardHandler))
 	server := &http.Server{Handler: p.hub}
 	go func() { _ = server.Serve(listener) }()
--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -16,6 +16,7 @@
 // fakeVM implements cluster.LocalVM: tests set its state, and it records what other VMs send.
 type fakeVM struct {
 	fakePaces
+	fakeProxies
 	mu               sync.Mutex
 	holdsLease       bool
 	holder           string
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -20,6 +20,8 @@
 	SlowLink bool `cbor:"Slow,omitempty"`
 	// ReadsMemberCount reports that the VM takes the number of members from MemberCount, not from the list.
 	ReadsMemberCount bool `cbor:"Counted,omitempty"`
+	// TakesProxied reports that the VM takes requests of other VMs.
+	TakesProxied bool `cbor:"Proxies,omitempty"`
 }
 
 // frame is one message on a link. At most one field is set, besides Releases; an empty frame only shows that the sender is alive.
@@ -54,6 +56,8 @@
 	Paces pacing.Paces `cbor:",omitempty"`
 	// Grant is the receiver's share of the quotas of client accounts, sent by the lease holder.
 	Grant *quota.Grant `cbor:",omitempty"`
+	// Proxies is sent by the lease holder to a VM that is cut off from the runners.
+	Proxies *proxyList `cbor:",omitempty"`
 }
 
 type holding = orders.Holding
@@ -68,6 +72,9 @@
 	Paces pacing.Paces `cbor:",omitempty"`
 	// Quota is the demand of the client accounts with a quota; omitted if there are none.
 	Quota *quota.Report `cbor:",omitempty"`
+	// CutOff reports that the sender reaches no runner, Stopping that it is about to stop.
+	CutOff   bool `cbor:",omitempty"`
+	Stopping bool `cbor:",omitempty"`
 }
 
 // missingModel names a model or adapter that a caller requested and no runner holds.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"hash/maphash"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,6 +34,8 @@
 	local LocalVM
 	clock clockwork.Clock
 	bytes atomic.Uint64
+	// seed makes the choice of proxies random.
+	seed maphash.Seed
 	// aggregator receives the usage reports; nil if there is none.
 	aggregator atomic.Pointer[UsageAggregator]
 
@@ -41,6 +43,8 @@
 	sessions map[*session]bool
 	// membersVersion counts the changes of the membership.
 	membersVersion int
+	// heldSince is when this VM was first seen to hold the lease, zero while it does not.
+	heldSince time.Time
 }
 
 // session is a link that another VM opened.
@@ -53,6 +57,9 @@
 	sentMembersVersion int
 	// sentPaces is set once all known paces were sent on this link; the hub's mutex guards it.
 	sentPaces bool
+	// reach and sentProxies are guarded by the hub's mutex.
+	reach       reachReport
+	sentProxies sentProxies
 }
 
 // NewHub returns a hub without links.
@@ -61,6 +68,7 @@
 		self:     self,
 		local:    local,
 		clock:    clock,
+		seed:     maphash.MakeSeed(),
 		sessions: make(map[*session]bool),
 	}
 }
@@ -126,19 +134,6 @@
 	return beat
 }
 
-// membersFor returns the members to send on a link: a random sample, or all to a VM of a release that counts the list.
-func (h *Hub) membersFor(s *session) []Member {
-	members := h.Members()
-	h.mu.Lock()
-	countsList := s.member == nil || !s.member.ReadsMemberCount
-	h.mu.Unlock()
-	if countsList || len(members) <= memberSampleSize {
-		return members
-	}
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	return members[:memberSampleSize]
-}
-
 func (h *Hub) heartbeat() *heartbeat {
 	next, resigned := h.local.LeaseStatus()
 	return &heartbeat{
@@ -183,6 +178,7 @@
 			h.local.ReceiveQuotaReport(vm, f.Usage.Quota)
 		}
 		h.recordPaces(f.Usage)
+		h.recordReach(s, f.Usage)
 		requestNewerConfiguration(s.link, h.local, f.Usage.Version)
 	case receiveConfiguration(h.local, f):
 		h.BroadcastHeartbeat()
@@ -268,31 +264,5 @@
 	}
 }
 
-// Members returns this VM and those linked to it.
-func (h *Hub) Members() []Member {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	members := []Member{h.self}
-	for s := range h.sessions {
-		if s.member != nil {
-			members = append(members, *s.member)
-		}
-	}
-	return members
-}
-
-// MemberCount returns the number of VMs that Members lists.
-func (h *Hub) MemberCount() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	n := 1
-	for s := range h.sessions {
-		if s.member != nil {
-			n++
-		}
-	}
-	return n
-}
-
 // Bytes returns the number of bytes sent and received on links that other VMs opened.
 func (h *Hub) Bytes() uint64 { return h.bytes.Load() }
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -12,6 +12,7 @@
 // LocalVM provides this VM's state to its links and handles what other VMs send.
 type LocalVM interface {
 	PaceKeeper
+	ProxyVM
 	// HoldsLease reports whether this VM holds the order lease.
 	HoldsLease() bool
 	// HolderAddress returns the lease holder's peer address, and false when the holder is unknown or this VM itself.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -220,15 +220,7 @@
 // reportUsage reports this VM's requests at the runners to the lease holder.
 func (s *Spoke) reportUsage(ctx context.Context, link *framelink.Link[frame]) {
 	for {
-		// An empty report is sent too, because a VM without a report can't be taken to be idle.
-		report := &usageReport{
-			Version:   s.local.ConfigurationVersion(),
-			Occupancy: s.local.Occupancy(),
-			Uses:      s.local.ModelsInUse(),
-			Paces:     s.local.TakeSeenPaces(),
-			Quota:     s.local.QuotaReport(),
-		}
-		if !link.TrySend(frame{Usage: report}) || !pause.For(ctx, s.clock, usageInterval) {
+		if !link.TrySend(frame{Usage: s.newUsageReport()}) || !pause.For(ctx, s.clock, usageInterval) {
 			return
 		}
 	}
@@ -266,6 +258,8 @@
 		s.local.ReceivePaces(f.Paces)
 	case f.Grant != nil:
 		s.local.ReceiveGrant(f.Grant)
+	case f.Proxies != nil:
+		s.receiveProxies(link, f.Proxies)
 	}
 }
 
--- a/internal/serving/http.go
+++ b/internal/serving/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/callers"
 	"github.com/cowsliparch/cowsliparch/internal/cluster"
+	"github.com/cowsliparch/cowsliparch/internal/proxy"
 )
 
 const (
@@ -53,6 +54,7 @@
 func (s *Server) peerServer(ctx context.Context) *http.Server {
 	r := chi.NewRouter()
 	r.Handle(cluster.Path, s.hub)
+	r.Handle(proxy.Path, s.proxies.handler)
 	return &http.Server{
 		Handler:           r,
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/serving/loops.go
+++ b/internal/serving/loops.go
@@ -18,6 +18,8 @@
 	isolationTimeout = time.Second
 	// isolationBackoff is how long it does not claim the lease after that.
 	isolationBackoff = 6 * time.Second
+	// cutOffTimeout is how long a lease holder that reaches no runner keeps the lease.
+	cutOffTimeout = 2 * time.Second
 )
 
 // minVMs is the smallest number of entry VMs that is assumed, because the number is unknown while the lease holder is
@@ -65,8 +67,10 @@
 		}
 		s.Pool.Prune()
 		s.tracker.Prune(s.roster.View(), s.Clock.Now())
+		s.proxies.prune(s.Clock.Now())
 		s.maintainQuotas()
 		s.stepDownIfIsolated(ctx)
+		s.stepDownIfCutOff(ctx)
 		s.stepDownIfLinkIsSlow(ctx)
 		s.retryBudget.SetLimits(retryLimits(s.currentSettings()), s.vmCount())
 	}
@@ -89,6 +93,18 @@
 	}
 }
 
+// stepDownIfCutOff gives up the lease when this VM reaches no runner, so that it can't send orders, and a linked VM does.
+func (s *Server) stepDownIfCutOff(ctx context.Context) {
+	now := s.Clock.Now()
+	if !s.HoldsLease() || !s.CutOff() {
+		s.lastReaching = now
+		return
+	}
+	if now.Sub(s.lastReaching) >= cutOffTimeout && s.hub.ReachingVMLinked() {
+		s.lease.StepDown(ctx, isolationBackoff)
+	}
+}
+
 // stepDownIfLinkIsSlow gives up the lease when this VM's network link is slow and a linked VM has a faster one.
 func (s *Server) stepDownIfLinkIsSlow(ctx context.Context) {
 	now := s.Clock.Now()
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -33,11 +33,14 @@
 // Server runs the process of an entry VM.
 type Server struct {
 	Dependencies
-	registry    *prometheus.Registry
-	catalog     *catalog.Active
-	roster      *roster.Roster
-	watcher     *registry.Watcher
-	tracker     *dispatch.Tracker
+	registry *prometheus.Registry
+	catalog  *catalog.Active
+	roster   *roster.Roster
+	watcher  *registry.Watcher
+	tracker  *dispatch.Tracker
+	// reach may be nil; then this VM never takes itself for cut off.
+	reach       dispatch.Reach
+	proxies     *proxies
 	retryBudget *dispatch.RetryBudget
 	buffers     *buffer.Budget
 	// guardCallers bounds what callers' requests and connections take.
@@ -69,6 +72,8 @@
 	lastLinked time.Time
 	// lastWithoutLease is when this VM was last seen without the lease.
 	lastWithoutLease time.Time
+	// lastReaching is when this VM last reached the runners or did not hold the lease.
+	lastReaching time.Time
 
 	callerListener  net.Listener
 	readyListener   net.Listener
@@ -83,15 +88,12 @@
 		registry:     prometheus.NewRegistry(),
 		catalog:      catalog.NewActive(),
 		roster:       roster.New(),
-		tracker: dispatch.NewTracker(dispatch.RoundTrips{
-			FailureDomain: d.Settings.VM.FailureDomain,
-			Regions:       d.Settings.VM.Regions,
-		}),
-		retryBudget: dispatch.NewRetryBudget(retryLimits(d.Settings), d.Clock.Now()),
-		demand:      orders.NewMeter(d.Clock.Now()),
-		buffers:     buffer.NewBudget(bufferBytes(d.Settings.VM), attemptBytes),
-		incarnation: uuid.NewString(),
-		startedAt:   d.Clock.Now(),
+		tracker:      dispatch.NewTracker(roundTrips(d.Settings.VM)),
+		retryBudget:  dispatch.NewRetryBudget(retryLimits(d.Settings), d.Clock.Now()),
+		demand:       orders.NewMeter(d.Clock.Now()),
+		buffers:      buffer.NewBudget(bufferBytes(d.Settings.VM), attemptBytes),
+		incarnation:  uuid.NewString(),
+		startedAt:    d.Clock.Now(),
 	}
 	s.settings.Store(&d.Settings)
 	s.requests, s.cancelRequests = context.WithCancelCause(context.Background())
@@ -117,18 +119,22 @@
 		Logger: d.Logger,
 	})
 	s.quotas = newQuotas(d.BootClock, s.quotaAccounts)
+	s.proxies = s.newProxies()
 	s.dispatcher = dispatch.New(dispatch.Dependencies{
-		Catalog:     s.catalog.Current,
-		Roster:      s.roster.View,
-		VMs:         s.vmCount,
-		Tracker:     s.tracker,
-		RetryBudget: s.retryBudget,
-		Sender:      d.Sender,
-		Demand:      &demandRecorder{server: s},
-		Buffers:     s.buffers,
-		Guard:       s.guard,
-		Origins:     s.origins,
-		Quotas:      s.quotas,
+		Catalog:      s.catalog.Current,
+		Roster:       s.roster.View,
+		VMs:          s.vmCount,
+		Tracker:      s.tracker,
+		RetryBudget:  s.retryBudget,
+		Sender:       d.Sender,
+		Reach:        s.reach,
+		Proxies:      s.proxies,
+		ProxyTracker: s.proxies.tracker,
+		Demand:       &demandRecorder{server: s},
+		Buffers:      s.buffers,
+		Guard:        s.guard,
+		Origins:      s.origins,
+		Quotas:       s.quotas,
 		Shedding: dispatch.Shedding{
 			ByCost:   func() bool { return s.currentSettings().Limits.Shedding == settings.SheddingByCost },
 			Shedder:  shedding.New(),
@@ -161,6 +167,7 @@
 		SlowLink:      hasSlowLink(vm),
 
 		ReadsMemberCount: true,
+		TakesProxied:     true,
 	}
 	s.lease = orderlease.New(orderlease.Options{
 		Name:        vm.Name,
@@ -248,12 +255,6 @@
 	return 0
 }
 
-// Stopping reports whether a graceful stop has begun.
-func (s *Server) Stopping() bool { return s.stopping.Load() }
-
-// AdmissionEnded reports whether a graceful stop has come so far that no further request is taken.
-func (s *Server) AdmissionEnded() bool { return s.admissionEnded.Load() }
-
 // Run serves until the context ends, then stops gracefully.
 func (s *Server) Run(ctx context.Context) error {
 	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
@@ -265,6 +266,7 @@
 	callerServer, readyServer, peerServer, metricsServer := s.callerServer(), s.readyServer(), s.peerServer(control), s.metricsServer()
 	connections := newBusyConnections()
 	callerServer.ConnState = s.trackConnections(connections)
+	peerServer.ConnState = connections.track
 	group.Go(func() error { return serve(callerServer, s.guardCallers.Listen(s.callerListener)) })
 	group.Go(func() error { return serve(readyServer, s.readyListener) })
 	group.Go(func() error { return serve(peerServer, s.peerListener) })
--- a/internal/serving/stop.go
+++ b/internal/serving/stop.go
@@ -28,6 +28,12 @@
 	stopPollInterval = 10 * time.Millisecond
 )
 
+// Stopping reports whether a graceful stop has begun.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
+// AdmissionEnded reports whether a graceful stop has come so far that no further request is taken.
+func (s *Server) AdmissionEnded() bool { return s.admissionEnded.Load() }
+
 // releaseLease gives up the order lease.
 func (s *Server) releaseLease() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
