--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -75,7 +75,6 @@
 		attrs = append(attrs, slog.String("Reason", c.reason))
 	}
 	c.endEvent().Log(c.d.Logger, attrs...)
-	c.d.Metrics.proxiedEnded(c)
 	if c.request.Proxied == nil {
 		c.d.Metrics.requestEnded(c, now)
 	}
