proxy: name the sending VM, pass over VMs that can't read a request

Change: the client knows its VM's name. A refusal of a VM that could not read the request, or that finds it too large, concerns that VM and not the caller.

--- a/internal/dispatch/proxy.go
+++ b/internal/dispatch/proxy.go
@@ -198,7 +198,7 @@
 // unavailable reports whether a VM refused a request for a reason of its own, so that another one may take it.
 func unavailable(refused *refusal.Refusal) bool {
 	switch refused.Code {
-	case refusal.OutOfReach, refusal.NotReady, refusal.Stopping, refusal.TooManyCalls:
+	case refusal.OutOfReach, refusal.NotReady, refusal.Stopping, refusal.TooManyCalls, refusal.BadRequest, refusal.TooLarge:
 		return true
 	default:
 		return false
--- a/internal/proxy/bounds_test.go
+++ b/internal/proxy/bounds_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
@@ -72,8 +73,11 @@
 
 func TestUnusableRequestsAreRefused(t *testing.T) {
 	h := newHarness(t, respond(http.StatusOK, http.Header{}, "ok"))
+	named := h.client
+	h.client = proxy.NewClient("", h.pool, dispatch.RoundTrips{}, proxy.NewMetrics(prometheus.NewRegistry()))
 	require.Equal(t, refusal.BadRequest, h.sendRefused(t, newRequest("x"), nil).Code)
 	require.Equal(t, refusal.BadRequest, h.sendRefused(t, newRequest("x"), &dispatch.Proxied{Version: 1}).Code)
+	h.client = named
 	proxied := &dispatch.Proxied{VM: "p"}
 	require.Equal(t, refusal.TooLarge, h.sendRefused(t, newRequest(strings.Repeat("x", bodyLimit+1)), proxied).Code)
 	require.Equal(t, refusal.TooLarge, h.sendRefused(t, newRequest(strings.Repeat("x", 2*bodyLimit)), proxied).Code)
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -23,14 +23,16 @@
 
 // Client sends requests through other VMs.
 type Client struct {
+	vm         string
 	pool       *outbound.Pool
 	roundTrips dispatch.RoundTrips
 	metrics    *Metrics
 }
 
-// NewClient returns a client that takes its connections from a pool.
-func NewClient(pool *outbound.Pool, roundTrips dispatch.RoundTrips, metrics *Metrics) *Client {
+// NewClient returns a client of the VM with a name, which takes its connections from a pool.
+func NewClient(vm string, pool *outbound.Pool, roundTrips dispatch.RoundTrips, metrics *Metrics) *Client {
 	return &Client{
+		vm:         vm,
 		pool:       pool,
 		roundTrips: roundTrips,
 		metrics:    metrics,
@@ -45,7 +47,7 @@
 }
 
 func (c *Client) send(ctx context.Context, vm *roster.Runner, request *dispatch.Request, attempt dispatch.Attempt) (*dispatch.Response, error) {
-	body, err := encodeHead(newRequestHead(request, attempt, c.roundTrips.RoundTrip(vm.FailureDomain)), len(request.Body))
+	body, err := encodeHead(c.newRequestHead(request, attempt, vm), len(request.Body))
 	if err != nil {
 		return nil, &endpoint.NotSentError{
 			Address: vm.Address,
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -77,7 +77,7 @@
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	h.pool = outbound.NewPool(clockwork.NewRealClock())
-	h.client = proxy.NewClient(h.pool, dispatch.RoundTrips{}, metrics)
+	h.client = proxy.NewClient("p", h.pool, dispatch.RoundTrips{}, metrics)
 	h.vm = &roster.Runner{
 		ID:      "q/1",
 		Service: dispatch.ProxyService,
--- a/internal/proxy/head_test.go
+++ b/internal/proxy/head_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
 func newRequest() *dispatch.Request {
@@ -58,11 +59,20 @@
 		Release:  &release,
 	}
 	sent := newRequest()
-	encoded, err := encodeHead(newRequestHead(sent, dispatch.Attempt{
+	client := NewClient("p", nil, dispatch.RoundTrips{
+		FailureDomain: "a",
+		Regions:       map[string]string{"a": "r", "b": "s"},
+	}, nil)
+	encoded, err := encodeHead(client.newRequestHead(sent, dispatch.Attempt{
 		Remaining:   2 * time.Second,
 		ResumeAfter: "12",
-		Proxied:     &proxied,
-	}, 60*time.Millisecond), 0)
+		Proxied: &dispatch.Proxied{
+			Version:  4,
+			Account:  "acme",
+			Attempts: 2,
+			Release:  &release,
+		},
+	}, &roster.Runner{FailureDomain: "b"}), 0)
 	require.NoError(t, err)
 	var head requestHead
 	n, err := readHead(bytes.NewReader(encoded), &head, nil)
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
 // requestHead is the head of a request, whose body follows it. The digest of an API key means nothing to another VM and is left out.
@@ -38,8 +39,8 @@
 	Release string           `cbor:",omitempty"`
 }
 
-// newRequestHead describes a request for a VM that is a round trip away.
-func newRequestHead(r *dispatch.Request, attempt dispatch.Attempt, roundTrip time.Duration) requestHead {
+// newRequestHead describes a request for a VM.
+func (c *Client) newRequestHead(r *dispatch.Request, attempt dispatch.Attempt, to *roster.Runner) requestHead {
 	head := requestHead{
 		ID:             r.ID,
 		Method:         r.Method,
@@ -55,11 +56,12 @@
 		PromptSections: r.PromptSections,
 		ResumeAfter:    attempt.ResumeAfter,
 		Resumes:        r.Resumes,
-		Remaining:      max(attempt.Remaining-roundTrip/2, time.Millisecond),
+		Remaining:      max(attempt.Remaining-c.roundTrips.RoundTrip(to.FailureDomain)/2, time.Millisecond),
 	}
 	if attempt.Proxied != nil {
 		head.Proxied = *attempt.Proxied
 	}
+	head.Proxied.VM = c.vm
 	return head
 }
 
--- a/internal/serving/proxy.go
+++ b/internal/serving/proxy.go
@@ -45,7 +45,7 @@
 			Linked:     func() []cluster.Member { return s.hub.Proxies() },
 			Members:    func() []cluster.Member { return s.spoke.Members() },
 		}, s.Clock),
-		Client:  proxy.NewClient(pool, roundTrips(vm), metrics),
+		Client:  proxy.NewClient(vm.Name, pool, roundTrips(vm), metrics),
 		pool:    pool,
 		tracker: dispatch.NewTracker(roundTrips(vm)),
 		handler: proxy.NewHandler(proxy.Options{
