outbound: confirm the end of a response that ends with its connection

Callers saw: streams of events that ended as complete before their last event, and plain responses that lacked their rest, as whole ones.

Cause: a response without a length or chunks ends with its connection, and the kernel ends the connections of a process that is killed in good order. Between two events, such an end can't be told from that of the stream.

Change: after such an end, the endpoint must accept a new connection, which then serves the next request in place of the one that ended, or still hold another one open, as one that is about to stop does.

--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -40,7 +40,7 @@
 	mismatched   bool
 }
 
-func newConn(socket net.Conn, onClose func()) *conn {
+func newConn(socket net.Conn) *conn {
 	head := &headLimiter{
 		reader: socket,
 	}
@@ -50,7 +50,6 @@
 		head:        head,
 		idleTimeout: defaultIdleTimeout,
 		written:     make(chan struct{}),
-		onClose:     onClose,
 	}
 }
 
@@ -139,19 +138,4 @@
 }
 
 // closedByKernel reports whether the connection is closed in both directions, as after a reset.
-func (c *conn) closedByKernel() bool {
-	syscallConn, ok := c.socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rawConn, err := syscallConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	closed := false
-	err = rawConn.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
-	})
-	return err == nil && closed
-}
+func (c *conn) closedByKernel() bool { return c.tcpState() == unix.BPF_TCP_CLOSE }
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -49,10 +49,12 @@
 	opened uint64
 }
 
-// hostConns are the connections to one address; open counts the idle ones and those in use.
+// hostConns are the connections to one address; open counts the idle ones, those in use and those being opened.
 type hostConns struct {
 	idle []*conn
 	open int
+	// conns holds the idle ones and those in use.
+	conns map[*conn]struct{}
 }
 
 // NewPool returns an empty pool.
@@ -138,7 +140,12 @@
 			Cause:   err,
 		}
 	}
-	return newConn(socket, func() { p.releaseSlot(address) }), nil
+	c := newConn(socket)
+	c.onClose = func() { p.forget(address, c) }
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.host(address).conns[c] = struct{}{}
+	return c, nil
 }
 
 // takeIdle returns the most recently used idle connection that suits the target, or nil after it has counted a new connection as
@@ -179,7 +186,9 @@
 func (p *Pool) host(address string) *hostConns {
 	h, ok := p.hosts[address]
 	if !ok {
-		h = &hostConns{}
+		h = &hostConns{
+			conns: make(map[*conn]struct{}),
+		}
 		p.hosts[address] = h
 	}
 	return h
@@ -211,6 +220,16 @@
 	}
 }
 
+// forget counts a connection to an address that was closed as no longer open.
+func (p *Pool) forget(address string, c *conn) {
+	p.mu.Lock()
+	if h, ok := p.hosts[address]; ok {
+		delete(h.conns, c)
+	}
+	p.mu.Unlock()
+	p.releaseSlot(address)
+}
+
 // Prune closes idle connections whose idle timeout has passed and drops addresses without connections.
 func (p *Pool) Prune() {
 	p.mu.Lock()
--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -24,12 +24,14 @@
 	response *http.Response
 	// stopWatch keeps the connection open when the request's context ends; it returns false if that has already ended.
 	stopWatch func() bool
-	once      sync.Once
+	// confirm tells whether the endpoint still runs after the connection has ended.
+	confirm func() error
+	once    sync.Once
 	// complete is set once the whole body was read.
 	complete atomic.Bool
 }
 
-func newResponse(p *Pool, address string, c *conn, response *http.Response, stopWatch func() bool) *Response {
+func newResponse(p *Pool, address string, c *conn, response *http.Response, stopWatch func() bool, confirm func() error) *Response {
 	return &Response{
 		Status:    response.StatusCode,
 		Header:    response.Header,
@@ -39,10 +41,12 @@
 		conn:      c,
 		response:  response,
 		stopWatch: stopWatch,
+		confirm:   confirm,
 	}
 }
 
-// Read implements io.Reader; it returns io.EOF only after the complete body, also if the body ends with its connection.
+// Read implements io.Reader; it returns io.EOF only after the complete body. If the body ends with its connection, that is known as far
+// as the endpoint still runs, and UnconfirmedEndError takes the place of io.EOF otherwise.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.response.Body.Read(b)
 	if !errors.Is(err, io.EOF) {
@@ -52,6 +56,9 @@
 		if reset := r.conn.resetError(); reset != nil {
 			return n, reset
 		}
+		if err := r.confirm(); err != nil {
+			return n, err
+		}
 	}
 	r.complete.Store(true)
 	r.Close()
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -66,7 +66,8 @@
 		c.close()
 		return nil, noResponseError(target, err)
 	}
-	return newResponse(p, target.Address, c, response, stopWatch), nil
+	confirm := func() error { return p.confirmEnd(ctx, c, target.Address) }
+	return newResponse(p, target.Address, c, response, stopWatch, confirm), nil
 }
 
 func noResponseError(target Target, err error) error {
