dispatch: log the last event that a caller has

The log lines of requests and of attempts that failed did not tell how far a stream had come, so that an event that was missing or came twice could not be traced to one of the runners, or to an end that was taken for complete.

--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -61,6 +61,9 @@
 	if c.account != nil {
 		attrs = append(attrs, slog.String("Account", c.account.Name))
 	}
+	if c.lastEventID != "" {
+		attrs = append(attrs, slog.String("LastEvent", c.lastEventID))
+	}
 	if c.proxy != "" {
 		attrs = append(attrs, slog.String("Proxy", c.proxy))
 	}
@@ -103,6 +106,7 @@
 		slog.Int("Sends", c.attempts),
 		slog.Uint64("Heartbeat", pick.runner.Heartbeat),
 		slog.Bool("Canceled", errors.Is(err, errSilent)),
+		slog.String("LastEvent", c.lastEventID),
 		slog.Int("Delivered", c.delivered),
 		event.Error(err))
 	c.d.Metrics.sendFailed(c.service.Name)
