dispatch: don't take an end at the deadline for the end of a response

Callers saw: streams that ended as complete before their last event, on routes whose time is short.

Cause: a runner is told how long it may work on a request, and ends the response when that time is over. Without a length or chunks, that looks like the end of a complete response.

Change: where nothing marks the end, one that comes at the deadline is none: the stream is broken off, and a plain response is refused as too late, and may have run. An endpoint that refuses connections after such an end counts as one that ended the connection.

--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 )
 
@@ -16,6 +17,8 @@
 	maxBufferedBytes = 1 << 20
 	// maxUnboundedBytes limits a response that does not state its length and is not a stream.
 	maxUnboundedBytes = 64 << 20
+	// deadlineTolerance is how long before the deadline the runner's clock may find the time over.
+	deadlineTolerance = 20 * time.Millisecond
 	// maxFirstTokenWork is how long a runner works on a request at most before it sends the first data; beyond that, the request
 	// waited for a slot.
 	maxFirstTokenWork = 150 * time.Millisecond
@@ -69,6 +72,9 @@
 	if a.complete(u.err) && a.answered {
 		c.recordEnd(a)
 	}
+	if c.endedForTime(a, u) {
+		return c.handleLateEnd(a)
+	}
 	switch {
 	case u.err == nil:
 		if a.eventOverdue(a.lastUpdate) && a == c.current && c.standby == nil && c.route.Idempotent() {
@@ -122,6 +128,9 @@
 	if u.err != nil && !ended {
 		return c.handleBreak(a, u.err)
 	}
+	if c.endedForTime(a, u) {
+		return c.handleLateEnd(a)
+	}
 	if !ended && !a.begun && len(a.body) <= maxBufferedBytes && a.tryHold() {
 		return false, nil
 	}
@@ -145,6 +154,21 @@
 	return true, nil
 }
 
+// endedForTime reports whether the runner may have ended a response because its time was over: nothing else marks the end.
+func (c *call) endedForTime(a *attempt, u update) bool {
+	return a.response.EndUnmarked && errors.Is(u.err, io.EOF) && !u.at.Before(c.deadline.Add(-deadlineTolerance))
+}
+
+// handleLateEnd handles a response that may have been ended at the deadline.
+func (c *call) handleLateEnd(a *attempt) (bool, *refusal.Refusal) {
+	c.recordSendFailure(a.pick, &endpoint.TruncatedError{Cause: errDeadline})
+	c.end(a)
+	if c.inProgress() {
+		return false, nil
+	}
+	return true, refusal.New(http.StatusGatewayTimeout, refusal.TooLate, errDeadline.Cause).WithRan(refusal.Unknown)
+}
+
 // passOn sends a part of the body of an attempt to the caller, after the head if none was sent before, and ends the other attempt.
 // It reports whether the caller still receives.
 func (c *call) passOn(a *attempt, piece []byte, length int64) bool {
--- a/internal/dispatch/sections.go
+++ b/internal/dispatch/sections.go
@@ -72,7 +72,7 @@
 
 // brokenOff reports whether an attempt failed because the other side ended the connection.
 func brokenOff(err error) bool {
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED} {
 		if errors.Is(err, cause) {
 			return true
 		}
