platform: reset the connection of a broken stream to an HTTP/1.0 caller

Callers saw: HTTP/1.0 callers take a stream that the VM breaks off for a complete one.

Cause: the same as of ends that nothing marks at runners: a response to such a caller has neither a length nor chunks, and ends with its connection, which was closed in good order.

Change: a response to such a caller that is broken off ends with a reset.

--- a/internal/callers/request.go
+++ b/internal/callers/request.go
@@ -13,7 +13,7 @@
 	return context.WithValue(ctx, contextKey{}, c)
 }
 
-// FromContext returns the connection of a request, or nil if no guard has it. The methods that charge a nil connection do nothing.
+// FromContext returns the connection of a request, or nil if no guard has it. The methods that charge or reset a nil connection do nothing.
 func FromContext(ctx context.Context) *Conn {
 	c, _ := ctx.Value(contextKey{}).(*Conn)
 	return c
@@ -101,6 +101,13 @@
 	return nil
 }
 
+// ResetOnClose has the caller see a reset in place of the end of the connection.
+func (c *Conn) ResetOnClose() {
+	if c != nil {
+		_ = c.SetLinger(0)
+	}
+}
+
 // Discard ends the charges of a refused request, whose memory is no longer used.
 func (c *Conn) Discard() {
 	if c == nil {
