reach: failures at the only runner of a service are evidence, and so are more than those refuted

Callers of a VM that is partitioned from all runners were refused for as long as all their requests went to a service with one runner: failures at one runner raised no suspicion. And a partition whose open connections live on was found only after up to 4 s if failures at some runners had been no partition before.

Cause: evidence was kept per runner only, and a refuted suspicion had all further failures wait, however many runners they came from.

Change: failures at all runners of a service count like those at two runners. Refuted evidence counts again at once when it comes from twice as many runners. Pending tells whether such evidence awaits its probes.

--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -75,10 +75,12 @@
 	failures     map[string]time.Time
 	silenceAlarm alarm
 	failureAlarm alarm
-	evidence     Evidence
-	confirmAt    time.Time
-	cutOffSince  time.Time
-	nextScout    time.Time
+	// dismissed is the largest number of runners with failures as evidence that probes have refuted lately.
+	dismissed   int
+	evidence    Evidence
+	confirmAt   time.Time
+	cutOffSince time.Time
+	nextScout   time.Time
 }
 
 // NewDetector returns a detector of a VM that starts now; random returns a number in [0, n).
@@ -183,8 +185,7 @@
 func (d *Detector) suspect(fleet Fleet, now time.Time) bool {
 	silence := min(fleet.Silence, now.Sub(d.countFrom))
 	silent := fleet.Waiting >= minRunners && silence >= d.silenceAlarm.wait(now)
-	failed := d.failed(fleet.Runners, now)
-	failing := failed >= min(minRunners, len(fleet.Runners.All())) && now.Sub(d.failureAlarm.last) >= d.failureAlarm.wait(now)
+	failed, failing := d.failing(fleet.Runners, now)
 	if !silent && !failing {
 		return false
 	}
@@ -198,19 +199,35 @@
 	return true
 }
 
-// failed drops outdated failures and returns at how many registered runners there were others.
-func (d *Detector) failed(view *roster.View, now time.Time) int {
-	count := 0
+// Pending reports whether failures at runners are evidence that this VM reaches none, on which the probes have not decided yet.
+func (d *Detector) Pending(view *roster.View, now time.Time) bool {
+	if d.phase == suspecting || d.phase == confirming {
+		return d.evidence.Failed > 0
+	}
+	_, failing := d.failing(view, now)
+	return d.phase == reaching && failing
+}
+
+// failing returns at how many runners there were failures, and whether they are evidence: at several runners, or at all of a service.
+// Evidence that probes have refuted counts again after a wait, or once there is twice as much of it.
+func (d *Detector) failing(view *roster.View, now time.Time) (failed int, evidence bool) {
+	services := make(map[string]int)
 	for id, at := range d.failures {
 		if now.Sub(at) > failureWindow {
 			delete(d.failures, id)
 			continue
 		}
-		if _, registered := view.Runner(id); registered {
-			count++
+		if runner, registered := view.Runner(id); registered {
+			failed++
+			services[runner.Service]++
 		}
 	}
-	return count
+	evidence = failed >= minRunners
+	for service, n := range services {
+		evidence = evidence || n == len(view.Service(service))
+	}
+	waited := now.Sub(d.failureAlarm.last) >= d.failureAlarm.wait(now)
+	return failed, evidence && (waited || failed >= 2*d.dismissed)
 }
 
 // dismiss ends a suspicion that probes have refuted.
@@ -219,7 +236,11 @@
 		d.silenceAlarm.raise(now)
 	}
 	if d.evidence.Failed > 0 {
+		if d.failureAlarm.wait(now) == d.failureAlarm.base {
+			d.dismissed = 0
+		}
 		d.failureAlarm.raise(now)
+		d.dismissed = max(d.dismissed, d.evidence.Failed)
 	}
 	d.clear(now)
 	d.phase = reaching
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -109,6 +109,43 @@
 	require.Empty(t, s.probes)
 }
 
+// A service with one runner only shows by that runner that the VM may reach none.
+func TestOnlyRunnerOfServiceFails(t *testing.T) {
+	view := newView(t, 9, 2, func(r *roster.Runner) {
+		if r.ID != "runner-0" {
+			r.Service = "service-1"
+		}
+	})
+	s := newSimulation(view, 1)
+	s.state, s.traffic = during(broke, healed, refusing), failingDuring(broke, healed, 1)
+	s.run(30 * time.Second)
+	require.Len(t, s.changes, 2)
+	require.Less(t, s.changes[0], broke+300*time.Millisecond)
+
+	s = newSimulation(view, 1)
+	s.traffic = failingDuring(broke, broke+time.Minute, 1)
+	s.run(broke + time.Minute)
+	require.Empty(t, s.changes)
+	require.LessOrEqual(t, len(s.probes), 4*20)
+}
+
+// A partition must not go unnoticed because failures at fewer runners were no partition.
+func TestPartitionBesideFailingRunners(t *testing.T) {
+	for seed := range uint64(seeds) {
+		s := newSimulation(newView(t, 9, 2), seed)
+		s.state = during(2*broke, time.Hour, refusing)
+		s.traffic = func(at time.Duration) traffic {
+			if at < 2*broke {
+				return failingDuring(0, 2*broke, 2)(at)
+			}
+			return failingDuring(2*broke, time.Hour, 9)(at)
+		}
+		s.run(3 * broke)
+		require.Len(t, s.changes, 1)
+		require.Less(t, s.changes[0], 2*broke+600*time.Millisecond)
+	}
+}
+
 // Where few requests wait for runners that think for long, all of them are silent time and again.
 func TestSilentSoundRunnersAreProbedRarely(t *testing.T) {
 	s := newSimulation(newView(t, 9, 2), 1)
