dispatch: give another VM's request back when this VM is cut off as well

Streams that a cut-off VM had sent through another VM hung until their caller left if that one lost its paths to the runners, too: it went on waiting for the runner, and tried others that it did not reach. A request that it gave back, or that it could not complete before its stop, was failed although it could be repeated elsewhere.

Cause: a request of another VM was served like a caller's, but for the choice of other VMs; and any refusal that promises nothing was final.

The sending VM goes on elsewhere with requests that may run twice, within the attempts of the route.

Measured: TestProxiedRequestIsGivenBackWhenVMIsCutOff and TestRequestThatWasGivenBackGoesOnIfRepeatable failed before and pass.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -139,8 +139,8 @@
 	if refused := c.quarantineRefusal(); refused != nil {
 		return choice{}, refused
 	}
-	if c.usesProxy() {
-		return c.pickProxy()
+	if c.cutOff() {
+		return c.pickBeyondReach()
 	}
 	refused := c.findRelease(ctx)
 	if ctx.Err() != nil {
--- /dev/null
+++ b/internal/dispatch/cut_off_test.go
@@ -0,0 +1,71 @@
+package dispatch_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowsliparch/cowsliparch/internal/dispatch"
+	"github.com/cowsliparch/cowsliparch/internal/refusal"
+)
+
+// A VM that gets cut off while it serves another VM's request gives it back, so that it can go on elsewhere.
+func TestProxiedRequestIsGivenBackWhenVMIsCutOff(t *testing.T) {
+	for name, test := range map[string]struct {
+		path    string
+		reply   func(h *harness) reply
+		started bool
+	}{
+		"before the head": {"/safe/", func(*harness) reply { return hang }, false},
+		"in a stream":     {"/stream/", func(h *harness) reply { return h.fallSilent(time.Hour, 1, firstEvent, secondEvent) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.sender.replies = []reply{test.reply(h)}
+			reach, proxies := h.withProxies([]string{"v1"}, respond(http.StatusOK, ""))
+			r := h.request(test.path)
+			r.Proxied = &dispatch.Proxied{Version: 7}
+			go func() {
+				for h.sender.count() == 0 {
+					time.Sleep(pollInterval)
+				}
+				reach.cut()
+			}()
+			started := h.clock.Now()
+			h.serveAdvancing(t, t.Context(), r, 10*time.Millisecond)
+			require.Less(t, h.clock.Since(started), 1400*time.Millisecond)
+			require.Zero(t, proxies.count())
+			require.Equal(t, 1, h.sender.count())
+			require.Equal(t, test.started, h.caller.aborted)
+			if !test.started {
+				require.Equal(t, refusal.OutOfReach, h.caller.refused.Code)
+				require.Equal(t, refusal.Unknown, h.caller.refused.Ran)
+			}
+		})
+	}
+}
+
+// A request that a VM gives back because it reaches no runner any more, or stops, goes on elsewhere only if it may run twice.
+func TestRequestThatWasGivenBackGoesOnIfRepeatable(t *testing.T) {
+	for _, code := range []refusal.Code{refusal.OutOfReach, refusal.Stopping} {
+		for path, sent := range map[string]int{"/safe/": 2, "/stream/": 2, "/unsafe/": 1, "/once/": 1} {
+			t.Run(string(code)+" "+path, func(t *testing.T) {
+				h := newHarness(t, respond(http.StatusOK, "from a runner"))
+				reach, proxies := h.withProxies([]string{"v1", "v2"},
+					refuse(refusal.New(http.StatusBadGateway, code, "").WithRan(refusal.Unknown)), proxied(respond(http.StatusOK, firstEvent)))
+				reach.cut()
+				h.serve(t, path)
+				require.Equal(t, sent, proxies.count())
+				if sent == 2 {
+					require.Equal(t, firstEvent, h.caller.body)
+					require.Equal(t, 1, proxies.attempts[1].Proxied.Attempts)
+					return
+				}
+				require.Equal(t, http.StatusBadGateway, h.caller.refused.Status)
+				require.Equal(t, refusal.Unknown, h.caller.refused.Ran)
+			})
+		}
+	}
+}
--- a/internal/dispatch/proxy.go
+++ b/internal/dispatch/proxy.go
@@ -72,15 +72,16 @@
 // Lost implements Reach.
 func (alwaysReached) Lost() <-chan struct{} { return nil }
 
+// cutOff reports whether this VM reaches no runner.
+func (c *call) cutOff() bool { return c.d.Proxies != nil && c.d.Reach.CutOff() }
+
 // usesProxy reports whether the next attempt is to be sent through another VM. A request that came from another VM goes no further.
-func (c *call) usesProxy() bool {
-	return c.d.Proxies != nil && c.request.Proxied == nil && c.d.Reach.CutOff()
-}
+func (c *call) usesProxy() bool { return c.request.Proxied == nil && c.cutOff() }
 
 // lost returns a channel that is closed when the runner of the current attempt gets out of reach, or nil if there is no such moment to wait
 // for.
 func (c *call) lost() <-chan struct{} {
-	if c.d.Proxies == nil || c.request.Proxied != nil || c.current.pick.proxied || c.d.Reach.CutOff() {
+	if c.d.Proxies == nil || c.current.pick.proxied || c.d.Reach.CutOff() {
 		return nil
 	}
 	return c.d.Reach.Lost()
@@ -108,6 +109,14 @@
 	return pick
 }
 
+// pickBeyondReach chooses where the next attempt is sent while this VM reaches no runner.
+func (c *call) pickBeyondReach() (choice, *refusal.Refusal) {
+	if c.request.Proxied != nil {
+		return choice{}, c.outOfReach("this VM reaches no runner")
+	}
+	return c.pickProxy()
+}
+
 // pickProxy chooses the VM through which the next attempt is sent.
 func (c *call) pickProxy() (choice, *refusal.Refusal) {
 	pick := c.chooseProxy(c.d.Clock.Now())
@@ -115,11 +124,15 @@
 	if pick.runner != nil && c.proxiesDeclined < maxProxies {
 		return pick, nil
 	}
-	message := "this VM reaches no runner, and no VM that does takes the request"
-	if c.mayHaveRun {
-		return pick, refusal.New(http.StatusBadGateway, refusal.OutOfReach, message).WithRan(refusal.Unknown)
+	return pick, c.outOfReach("this VM reaches no runner, and no VM that does takes the request")
+}
+
+// outOfReach returns the refusal of a request that can't be sent to a runner.
+func (c *call) outOfReach(message string) *refusal.Refusal {
+	if c.mayHaveRun || c.inProgress() {
+		return refusal.New(http.StatusBadGateway, refusal.OutOfReach, message).WithRan(refusal.Unknown)
 	}
-	return pick, refusal.New(http.StatusServiceUnavailable, refusal.OutOfReach, message).WithRetryAfter(c.retryAfter(proxyRetryAfter))
+	return refusal.New(http.StatusServiceUnavailable, refusal.OutOfReach, message).WithRetryAfter(c.retryAfter(proxyRetryAfter))
 }
 
 // proxied returns what the VM through which the next attempt is sent is told of the request.
@@ -175,6 +188,10 @@
 	c.recordSendFailure(a.pick, refused)
 	if refused.Ran != refusal.NotRun {
 		c.mayHaveRun = true
+		if unavailable(refused) {
+			a.tracker.recordResult(a.pick.runner, false, a.lastUpdate)
+			return c.retryOrFail(a, refused.Message)
+		}
 		c.end(a)
 		return !c.inProgress(), refused
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -82,9 +82,9 @@
 	case u := <-c.standby.updatesOrNil():
 		return c.handleUpdate(ctx, c.standby, u)
 	case <-silence:
-		c.startStandby(ctx)
+		return c.handleSilence(ctx)
 	case <-lost:
-		c.startStandby(ctx)
+		return c.handleSilence(ctx)
 	case <-ctx.Done():
 	}
 	return false, nil
@@ -102,7 +102,7 @@
 // silenceLimit returns how long the current runner may send nothing to this VM before another one is tried. A runner that is
 // merely busy still responds to other requests.
 func (c *call) silenceLimit() time.Duration {
-	if !c.current.pick.proxied && c.usesProxy() {
+	if !c.current.pick.proxied && c.cutOff() {
 		return cutOffSilence
 	}
 	if c.current.response != nil && c.streams(c.current.response) {
@@ -115,6 +115,16 @@
 	return c.current.tracker.silentFor(c.current.pick.runner, c.current.lastUpdate, c.d.Clock.Now())
 }
 
+// handleSilence handles a runner that may have been silent for too long. A request of another VM is given back to it if this VM is cut
+// off.
+func (c *call) handleSilence(ctx context.Context) (bool, *refusal.Refusal) {
+	if c.request.Proxied != nil && c.cutOff() && c.silentFor() >= c.silenceLimit() {
+		return true, c.outOfReach("this VM reaches no runner any more")
+	}
+	c.startStandby(ctx)
+	return false, nil
+}
+
 // startStandby begins a second attempt if the runner of the current one has been silent for too long, or has been sending the
 // bytes of one event for too long, and if another runner can take the request.
 func (c *call) startStandby(ctx context.Context) {
