dispatch, reach: await the decision whether the VM is cut off before refusing a request

When connections to all runners were reset, streams in progress broke off within a millisecond, and other requests were refused, although another VM could have served them 100 to 500 ms later.

Cause: a request tries one runner after the other, each of which refuses the connection at once, and is given up before the probes that find the partition can have failed.

Change: a request for which no runner is left waits, at most 0.8 s, while failures that are evidence of a partition await their probes.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -159,6 +159,10 @@
 	}
 	c.pick = pick
 	if pick.runner == nil {
+		// All runners may have refused connections before this VM could know that it reaches none.
+		if c.d.Reach.Await(ctx) && c.cutOff() {
+			return c.pickBeyondReach()
+		}
 		return pick, c.noRunnerRefusal(needs)
 	}
 	if c.shedsByCost() {
--- a/internal/dispatch/cut_off_test.go
+++ b/internal/dispatch/cut_off_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -11,6 +12,36 @@
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 )
 
+// decidingReach is a Reach that finds out that this VM is cut off when it is awaited.
+type decidingReach struct {
+	*fakeReach
+	awaited int
+}
+
+func (r *decidingReach) Await(context.Context) bool {
+	if r.awaited++; r.awaited == 1 {
+		r.cut()
+	}
+	return true
+}
+
+// Runners that all refuse connections within a millisecond must not have a request refused before the VM can know that it is cut off.
+func TestRequestAwaitsDecisionWhetherVMIsCutOff(t *testing.T) {
+	for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			h := newHarness(t, failNotSent)
+			reach, proxies := h.withProxies([]string{"v1"}, proxied(respond(http.StatusOK, firstEvent)))
+			deciding := &decidingReach{fakeReach: reach}
+			h.dispatcher.Reach = deciding
+			h.serve(t, path)
+			require.Equal(t, 1, deciding.awaited)
+			require.Equal(t, 1, proxies.count())
+			require.Equal(t, http.StatusOK, h.caller.status)
+			require.Equal(t, firstEvent, h.caller.body)
+		})
+	}
+}
+
 // A VM that gets cut off while it serves another VM's request gives it back, so that it can go on elsewhere.
 func TestProxiedRequestIsGivenBackWhenVMIsCutOff(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/internal/dispatch/proxy.go
+++ b/internal/dispatch/proxy.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -28,6 +29,8 @@
 	CutOff() bool
 	// Lost returns a channel that is closed once this VM is cut off, and stays closed until it reaches runners again.
 	Lost() <-chan struct{}
+	// Await waits for a decision if failures suggest that this VM reaches no runner, and reports whether it is cut off.
+	Await(ctx context.Context) bool
 }
 
 // Proxies are the other entry VMs through which a VM that is cut off from the runners sends its requests.
@@ -72,6 +75,9 @@
 // Lost implements Reach.
 func (alwaysReached) Lost() <-chan struct{} { return nil }
 
+// Await implements Reach.
+func (alwaysReached) Await(context.Context) bool { return false }
+
 // cutOff reports whether this VM reaches no runner.
 func (c *call) cutOff() bool { return c.d.Proxies != nil && c.d.Reach.CutOff() }
 
--- a/internal/dispatch/proxy_test.go
+++ b/internal/dispatch/proxy_test.go
@@ -44,6 +44,8 @@
 	return r.lost
 }
 
+func (r *fakeReach) Await(context.Context) bool { return r.CutOff() }
+
 func (r *fakeReach) cut() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/reach/monitor.go
+++ b/internal/reach/monitor.go
@@ -22,6 +22,9 @@
 	maxDelay = 200 * time.Millisecond
 	// probeTimeout limits the time to open a connection to a runner.
 	probeTimeout = 400 * time.Millisecond
+	// decisionTimeout limits the wait for a decision, and decisionInterval is the time between two looks at it.
+	decisionTimeout  = 2 * probeTimeout
+	decisionInterval = 10 * time.Millisecond
 )
 
 // Opener opens connections to runners and keeps them for requests.
@@ -79,6 +82,22 @@
 	return m.lost
 }
 
+// Await waits as long as failures at runners are evidence that this VM reaches none, until the probes have decided, and reports whether
+// it is cut off.
+func (m *Monitor) Await(ctx context.Context) bool {
+	deadline := m.Clock.Now().Add(decisionTimeout)
+	for m.pending() && m.Clock.Now().Before(deadline) && pause.For(ctx, m.Clock, decisionInterval) {
+	}
+	return m.CutOff()
+}
+
+func (m *Monitor) pending() bool {
+	view, now := m.Roster(), m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.detector.Pending(view, now)
+}
+
 // Run looks for evidence and probes runners until the context ends.
 func (m *Monitor) Run(ctx context.Context) error {
 	m.resume()
--- a/internal/reach/monitor_test.go
+++ b/internal/reach/monitor_test.go
@@ -140,6 +140,7 @@
 	require.Eventually(t, func() bool { return isLost(lost) }, time.Second, time.Millisecond)
 	require.True(t, isLost(m.Lost()))
 
+	require.True(t, m.Await(t.Context()))
 	listen(t, addresses)
 	require.Eventually(t, func() bool { return !m.CutOff() }, 5*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool { return !isLost(m.Lost()) }, time.Second, time.Millisecond)
@@ -182,3 +183,38 @@
 	advance(testTick)
 	require.Eventually(t, func() bool { return opener.calls.Load() > 0 }, 5*time.Second, time.Millisecond)
 }
+
+// Requests that fail at all runners at once wait until it is decided whether the VM is cut off, and no longer.
+func TestDecisionIsAwaited(t *testing.T) {
+	for name, reached := range map[string]bool{"runners are reached": true, "no runner is reached": false} {
+		t.Run(name, func(t *testing.T) {
+			addresses := []string{"127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"}
+			for _, listener := range listen(t, addresses) {
+				if !reached {
+					require.NoError(t, listener.Close())
+				}
+			}
+			next := 0
+			view := newView(t, len(addresses), 1, func(r *roster.Runner) {
+				r.Address = addresses[next]
+				next++
+			})
+			m := startMonitor(t, reach.Dependencies{
+				Roster:  func() *roster.View { return view },
+				Silence: noSilence,
+				Opener:  outbound.NewPool(clockwork.NewRealClock()),
+				Clock:   clockwork.NewRealClock(),
+				Logger:  slog.New(slog.DiscardHandler),
+			})
+			// Run drops what was recorded before it.
+			time.Sleep(100 * time.Millisecond)
+			require.False(t, m.Await(t.Context()))
+			for _, runner := range view.All() {
+				m.RecordFailure(runner)
+			}
+			began := time.Now()
+			require.Equal(t, !reached, m.Await(t.Context()))
+			require.Less(t, time.Since(began), time.Second)
+		})
+	}
+}
