dispatch: don't take the end of an answer through another VM for evidence about a runner

An answer without a marked end that came through another VM was recorded under that VM's name, as if it were a runner that may have crashed. Strikes and other answers are recorded by the VM that the runner answers; so is this now.

Measured: TestAnswersThroughAnotherVMAreNoEvidence failed before and passes.

--- a/internal/dispatch/cut_off_test.go
+++ b/internal/dispatch/cut_off_test.go
@@ -100,3 +100,20 @@
 		}
 	}
 }
+
+// Only the VM that a runner answers can judge by the answer whether a prompt crashed it.
+func TestAnswersThroughAnotherVMAreNoEvidence(t *testing.T) {
+	h, guard := newGuardedHarness(t)
+	unmarked := func(ctx context.Context, r *dispatch.Request, attempt dispatch.Attempt) (*dispatch.Response, error) {
+		response, err := proxied(stream(nil, firstEvent))(ctx, r, attempt)
+		response.EndUnmarked = true
+		return response, err
+	}
+	reach, _ := h.withProxies([]string{"v1", "v2"}, loseResponse, unmarked)
+	reach.cut()
+	h.serve(t, "/stream/")
+	require.Equal(t, firstEvent, h.caller.body)
+	require.Zero(t, guard.ended)
+	require.Empty(t, guard.strikes)
+	require.Zero(t, guard.begun+guard.sound)
+}
--- a/internal/dispatch/sections.go
+++ b/internal/dispatch/sections.go
@@ -65,7 +65,7 @@
 		return
 	}
 	c.recordProgress(a, a.progress.WithData(a.lastUpdate))
-	if c.service.Engine != nil && a.response.successful() {
+	if c.service.Engine != nil && a.response.successful() && !a.pick.proxied {
 		c.d.Guard.RecordUnmarkedEnd(a.pick.runner, c.request.PromptSections, a.progress, a.lastUpdate)
 	}
 }
