outbound: let a killed process settle before an end is confirmed

Callers saw: with the confirmation of ends, some streams without a length still end as complete when their runner is killed.

Cause: the kernel may end the connections of a killed process before it closes the listener. A connection that is opened in between is accepted into the backlog and reset afterwards, so it confirmed the end.

Change: settleTime passes before the connection is opened. Each end without a mark is reported that much later.

--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// settleTime is how long after the end of one connection those of a process that was killed are all closed.
+// settleTime is how long after the end of one connection the others of a process that was killed, and its listener, are closed too.
 const settleTime = 50 * time.Millisecond
 
 // UnconfirmedEndError reports a body that ended with its connection at an endpoint that may be gone: the connections of a process that
@@ -30,6 +30,8 @@
 // confirmEnd fails with UnconfirmedEndError unless the process still runs that ended a connection to an address: it accepts a new
 // connection, which is kept for requests, or one that was open before still is.
 func (p *Pool) confirmEnd(ctx context.Context, ended *conn, address string) error {
+	// The kernel may end the connections of a process that is killed before it closes the listener.
+	p.clock.Sleep(settleTime)
 	// The end leaves room for the new connection within the endpoint's limit.
 	ended.close()
 	err := p.Open(ctx, address)
@@ -37,7 +39,6 @@
 		return nil
 	}
 	// An endpoint that is about to stop accepts no connections while it completes its responses.
-	p.clock.Sleep(settleTime)
 	if p.anyEstablished(address) {
 		return nil
 	}
