outbound: don't confirm the end of a response to HEAD

Callers saw: nothing, in most cases. A response to HEAD without a length was taken for one that ends with its connection: its connection was closed and another one opened, and if that failed, the response counted as broken off.

Cause: net/http reports such a response with an unknown length, though it has no body.

--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -83,9 +83,9 @@
 		r.conn.writeErr == nil && !r.CloseDelimited()
 }
 
-// CloseDelimited reports whether the end of the body is marked only by the end of the connection.
+// CloseDelimited reports whether the end of the body is marked only by the end of the connection. Responses to HEAD have no body.
 func (r *Response) CloseDelimited() bool {
-	return r.response.ContentLength < 0 && len(r.response.TransferEncoding) == 0
+	return r.response.ContentLength < 0 && len(r.response.TransferEncoding) == 0 && r.response.Body != http.NoBody
 }
 
 // discard reads and drops the body of a response; it fails if the body is too large.
