outbound, platform: ask a runner whether it still runs after an end that nothing marks

Cause: the kernel may end the connections of a killed process before it closes the listener, and goes on accepting.

Change: the runner is asked for its report, as it is for orders, and must answer as the incarnation that registered. A runner that has restarted meanwhile, or another one at its address, does not confirm the end. One that refuses connections because it is about to stop does if it holds another connection open.

--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -56,6 +56,14 @@
 // Unwrap returns the cause.
 func (e *TruncatedError) Unwrap() error { return e.Cause }
 
+// RestartedError reports an endpoint that is not the incarnation that was called.
+type RestartedError struct {
+	Address string
+}
+
+// Error implements error.
+func (e *RestartedError) Error() string { return "endpoint " + e.Address + " has restarted" }
+
 // RequestIDMismatchError reports a response whose request ID is not that of the call.
 type RequestIDMismatchError struct {
 	Want string
--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -2,48 +2,60 @@
 
 import (
 	"context"
+	"errors"
 	"syscall"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
 )
 
-// settleTime is how long after the end of one connection the others of a process that was killed, and its listener, are closed too.
-const settleTime = 50 * time.Millisecond
+const (
+	// checkTimeout limits the time in which an endpoint tells that it still runs; a sound one may be silent for a second.
+	checkTimeout = 1500 * time.Millisecond
+	// settleTime is how long after its listener the connections of a process that was killed are all closed.
+	settleTime = 50 * time.Millisecond
+)
 
 // UnconfirmedEndError reports a body that ended with its connection at an endpoint that may be gone: the connections of a process that
 // is killed end in good order.
 type UnconfirmedEndError struct {
 	Address string
-	// Cause is why the endpoint could not be reached after the end.
+	// Cause is why the endpoint could not be asked after the end.
 	Cause error
 }
 
 // Error implements error.
 func (e *UnconfirmedEndError) Error() string {
-	return "response ended without a mark and " + e.Address + " can't be reached: " + e.Cause.Error()
+	return "response ended without a mark and " + e.Address + " may be gone: " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
 func (e *UnconfirmedEndError) Unwrap() error { return e.Cause }
 
-// confirmEnd fails with UnconfirmedEndError unless the process still runs that ended a connection to an address: it accepts a new
-// connection, which is kept for requests, or one that was open before still is.
-func (p *Pool) confirmEnd(ctx context.Context, ended *conn, address string) error {
-	// The kernel may end the connections of a process that is killed before it closes the listener.
-	p.clock.Sleep(settleTime)
-	// The end leaves room for the new connection within the endpoint's limit.
+// confirmEnd fails with UnconfirmedEndError unless the endpoint still runs whose connection ended. That it accepts connections does not
+// show that: the kernel does so for a short time after the process was killed.
+func (p *Pool) confirmEnd(ctx context.Context, ended *conn, target Target) error {
+	if target.Check == nil {
+		return nil
+	}
+	// The end leaves room for another connection within the endpoint's limit.
 	ended.close()
-	err := p.Open(ctx, address)
+	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, checkTimeout)
+	defer cancel()
+	err := target.Check(ctx)
 	if err == nil {
 		return nil
 	}
 	// An endpoint that is about to stop accepts no connections while it completes its responses.
-	if p.anyEstablished(address) {
-		return nil
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.clock.Sleep(settleTime)
+		if p.anyEstablished(target.Address) {
+			return nil
+		}
 	}
 	return &UnconfirmedEndError{
-		Address: address,
+		Address: target.Address,
 		Cause:   err,
 	}
 }
--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// Read implements io.Reader; it returns io.EOF only after the complete body. If the body ends with its connection, that is known as far
-// as the endpoint still runs, and UnconfirmedEndError takes the place of io.EOF otherwise.
+// Read implements io.Reader; it returns io.EOF only after the complete body. If the body ends with its connection, it is complete
+// only if the endpoint still runs; otherwise, UnconfirmedEndError takes the place of io.EOF.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.response.Body.Read(b)
 	if !errors.Is(err, io.EOF) {
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -35,6 +35,9 @@
 	// OnHeadRead, unless it is nil, is called with how much was read of a response whose header is awaited; if it fails, so does
 	// the request.
 	OnHeadRead func(bytes int) error
+	// Check, unless it is nil, asks the endpoint whether it still runs that answered the request. It is called after a response whose
+	// end only the end of its connection marks.
+	Check func(ctx context.Context) error
 	// Unambiguous demands a connection on which no response without an ID has been received.
 	Unambiguous bool
 }
@@ -66,7 +69,7 @@
 		c.close()
 		return nil, noResponseError(target, err)
 	}
-	confirm := func() error { return p.confirmEnd(ctx, c, target.Address) }
+	confirm := func() error { return p.confirmEnd(ctx, c, target) }
 	return newResponse(p, target.Address, c, response, stopWatch, confirm), nil
 }
 
