proxy: keep the VMs that reach the runners when the lease is given up

Callers of a lease holder that was cut off from the runners were refused (OutOfReach) for seconds after it had given up the lease: until the next holder was linked to all VMs and sent its list, the VM knew none through which to send requests.

Change: what a VM knew as the holder counts like a list that it received.

--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -74,6 +74,8 @@
 func (d *Directory) members(now time.Time) []cluster.Member {
 	if d.sources.HoldsLease() {
 		if linked := d.sources.Linked(); len(linked) > 0 {
+			// After it has given up the lease, this VM goes on with them until the next holder sends a list.
+			d.listed, d.listedAt = linked, now
 			return linked
 		}
 	}
--- a/internal/proxy/directory_test.go
+++ b/internal/proxy/directory_test.go
@@ -58,6 +58,8 @@
 	clock.Advance(time.Second)
 	require.Equal(t, []string{"linked/1"}, listedIDs(d))
 	holds = false
+	clock.Advance(time.Second)
+	require.Equal(t, []string{"linked/1"}, listedIDs(d), "what it knew as the holder")
 	clock.Advance(time.Minute)
 	require.Equal(t, []string{"beat/1"}, listedIDs(d))
 }
