platform, outbound: test VMs that are partitioned from all runners

Change: a pool can get its dialer, so that tests can cut the connections of one VM to the runners: open ones hang or are reset, and new ones hang or are refused.

--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -38,10 +38,15 @@
 // Error implements error.
 func (e *ConnectionLimitError) Error() string { return "connection limit reached at " + e.Address }
 
+// Dialer opens connections; net.Dialer implements it.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Pool is a pool of connections to endpoints.
 type Pool struct {
 	clock  clockwork.Clock
-	dialer *net.Dialer
+	dialer Dialer
 
 	mu sync.Mutex
 	// hosts holds the connections to each address.
@@ -55,11 +60,14 @@
 	open int
 }
 
-// NewPool returns an empty pool.
-func NewPool(clock clockwork.Clock) *Pool {
+// NewPool returns an empty pool whose connections are opened by NewDialer's dialer.
+func NewPool(clock clockwork.Clock) *Pool { return NewPoolWithDialer(NewDialer(), clock) }
+
+// NewPoolWithDialer returns an empty pool whose connections are opened by a dialer.
+func NewPoolWithDialer(dialer Dialer, clock clockwork.Clock) *Pool {
 	return &Pool{
 		clock:  clock,
-		dialer: NewDialer(),
+		dialer: dialer,
 		hosts:  make(map[string]*hostConns),
 	}
 }
