proxy: let an empty list of VMs expire soon

A VM that had been told while it was cut off that no VM reaches the runners kept the empty list for 30 s, and refused callers at the beginning of a next cut until a new list came, or for longer if there was no lease holder.

Change: an empty list counts for 3 s; it comes again each second while it holds. Then the members named in heartbeats are asked.

Measured: TestEmptyListExpiresSoon fails before (the list stays empty) and passes.

--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -15,6 +15,8 @@
 const (
 	// listTTL is how long the lease holder's list counts without a newer one.
 	listTTL = 30 * time.Second
+	// emptyListTTL is the same for an empty list, which comes again each second as long as it holds.
+	emptyListTTL = 3 * time.Second
 	// viewInterval is how long a view is kept.
 	viewInterval = 100 * time.Millisecond
 	// slots is how many requests at once a VM is expected to take from this one.
@@ -79,7 +81,11 @@
 			return linked
 		}
 	}
-	if !d.listedAt.IsZero() && now.Sub(d.listedAt) < listTTL {
+	ttl := listTTL
+	if len(d.listed) == 0 {
+		ttl = emptyListTTL
+	}
+	if !d.listedAt.IsZero() && now.Sub(d.listedAt) < ttl {
 		return d.listed
 	}
 	return slices.DeleteFunc(slices.Clone(d.sources.Members()), func(m cluster.Member) bool {
--- a/internal/proxy/directory_test.go
+++ b/internal/proxy/directory_test.go
@@ -63,3 +63,19 @@
 	clock.Advance(time.Minute)
 	require.Equal(t, []string{"beat/1"}, listedIDs(d))
 }
+
+// A list without VMs must not leave this VM without one long after it has been cut off.
+func TestEmptyListExpiresSoon(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	d := proxy.NewDirectory(proxy.Sources{
+		Name:       "p",
+		HoldsLease: func() bool { return false },
+		Linked:     func() []cluster.Member { return nil },
+		Members:    func() []cluster.Member { return members("beat") },
+	}, clock)
+	d.Receive(nil)
+	clock.Advance(2 * time.Second)
+	require.Empty(t, listedIDs(d))
+	clock.Advance(2 * time.Second)
+	require.Equal(t, []string{"beat/1"}, listedIDs(d))
+}
