outbound: an end that was not confirmed is no request that was not sent

UnconfirmedEndError wrapped the NotSentError of the connection that was to confirm the end, so errors.As took the request, which had run, for one that was not sent. Callers that read the body in one go with the request and decide by the error whether to send it again would do so: appends to the store, orders, and the head of a response through another VM. Found by reading; not seen in a run.

Change: the error holds the cause of the NotSentError. Evidence whether the VM reaches its runners still counts it.

--- a/internal/dispatch/proxy.go
+++ b/internal/dispatch/proxy.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/catalog"
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
+	"github.com/cowsliparch/cowsliparch/internal/outbound"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -231,7 +232,8 @@
 // recordReachFailure records an attempt that failed because its connection could not be opened or broke off.
 func (c *call) recordReachFailure(a *attempt, err error) {
 	var notSent *endpoint.NotSentError
-	if !a.pick.proxied && (errors.As(err, &notSent) || brokenOff(err)) {
+	var unconfirmed *outbound.UnconfirmedEndError
+	if !a.pick.proxied && (errors.As(err, &notSent) || errors.As(err, &unconfirmed) || brokenOff(err)) {
 		c.d.Reach.RecordFailure(a.pick.runner)
 	}
 }
--- a/internal/dispatch/proxy_test.go
+++ b/internal/dispatch/proxy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
 	"github.com/cowsliparch/cowsliparch/internal/origin"
+	"github.com/cowsliparch/cowsliparch/internal/outbound"
 	"github.com/cowsliparch/cowsliparch/internal/refusal"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -243,3 +245,12 @@
 	h.serve(t, "/safe/")
 	require.Len(t, reach.failures, 1)
 }
+
+// An end that was not confirmed because the runner can't be reached is such a failure too, whatever kept it from being reached.
+func TestUnconfirmedEndIsReportedAsFailure(t *testing.T) {
+	h := newHarness(t, unframed(stream(&outbound.UnconfirmedEndError{Cause: os.ErrDeadlineExceeded}, firstEvent)))
+	reach, _ := h.withProxies([]string{"v1"}, failNotSent)
+	h.serve(t, "/once/")
+	require.Len(t, reach.failures, 1)
+	require.True(t, h.caller.aborted)
+}
--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 )
 
 // settleTime is how long after the end of one connection the others of a process that was killed, and its listener, are closed too.
@@ -42,6 +45,11 @@
 	if p.anyEstablished(address) {
 		return nil
 	}
+	// The request was sent, so the error must not look like one of a request that was not.
+	var notSent *endpoint.NotSentError
+	if errors.As(err, &notSent) {
+		err = notSent.Cause
+	}
 	return &UnconfirmedEndError{
 		Address: address,
 		Cause:   err,
