outbound: confirm the end of a response once

A read after the end of a response confirmed it again: one whose end was not confirmed became complete once its endpoint was started again, and each read after a complete one opened a connection.

--- a/internal/outbound/confirm_test.go
+++ b/internal/outbound/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -11,6 +12,27 @@
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
 )
 
+// restart listens at the address of an endpoint that is gone.
+func (e *unframedEndpoint) restart(t *testing.T) {
+	t.Helper()
+	listener, err := net.Listen("tcp", e.listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+}
+
+// A response whose end was not confirmed stays incomplete, also once the endpoint was started again.
+func TestUnconfirmedEndIsFinal(t *testing.T) {
+	p := outbound.NewPool(clockwork.NewRealClock())
+	e := newUnframedEndpoint(t, true)
+	response := e.send(t, p, "/")
+	_, err := io.ReadAll(response)
+	require.Error(t, err)
+	e.restart(t)
+	_, err = response.Read(make([]byte, 1))
+	var unconfirmed *outbound.UnconfirmedEndError
+	require.ErrorAs(t, err, &unconfirmed)
+}
+
 // The request of a response that broke off must not be taken for one that was not sent, which may be sent again.
 func TestUnconfirmedEndIsNotTakenForUnsentRequest(t *testing.T) {
 	p := outbound.NewPool(clockwork.NewRealClock())
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
@@ -66,7 +67,7 @@
 		c.close()
 		return nil, noResponseError(target, err)
 	}
-	confirm := func() error { return p.confirmEnd(ctx, c, target.Address) }
+	confirm := sync.OnceValue(func() error { return p.confirmEnd(ctx, c, target.Address) })
 	return newResponse(p, target.Address, c, response, stopWatch, confirm), nil
 }
 
