--- a/internal/outbound/confirm_test.go
+++ b/internal/outbound/confirm_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -12,6 +13,18 @@
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
 )
 
+// awaitGone waits until an endpoint accepts no connections.
+func (e *unframedEndpoint) awaitGone(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", e.listener.Addr().String())
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, 5*time.Second, time.Millisecond)
+}
+
 // restart listens at the address of an endpoint that is gone.
 func (e *unframedEndpoint) restart(t *testing.T) {
 	t.Helper()
@@ -20,6 +33,17 @@
 	t.Cleanup(func() { _ = listener.Close() })
 }
 
+// A slow caller, or a VM that stands still, has the end of a response read only after the endpoint was started again.
+func TestUnframedResponseReadAfterRestartIsNotComplete(t *testing.T) {
+	p := outbound.NewPool(clockwork.NewRealClock())
+	e := newUnframedEndpoint(t, true)
+	response := e.send(t, p, "/")
+	e.awaitGone(t)
+	e.restart(t)
+	_, err := io.ReadAll(response)
+	require.Error(t, err, "the response looks complete")
+}
+
 // A response whose end was not confirmed stays incomplete, also once the endpoint was started again.
 func TestUnconfirmedEndIsFinal(t *testing.T) {
 	p := outbound.NewPool(clockwork.NewRealClock())
