platform: reset streams to HTTP/1.0 callers unless they are complete

Callers saw: an HTTP/1.0 caller that took nothing for 10 s, and then read on, got a stream that looked complete.

Cause: only a stream that is aborted was reset; one whose write fails ended with its connection in good order.

Change: the connection of such a caller is reset on close until its response is complete.

--- a/internal/callers/request.go
+++ b/internal/callers/request.go
@@ -101,11 +101,16 @@
 	return nil
 }
 
-// ResetOnClose has the caller see a reset in place of the end of the connection.
-func (c *Conn) ResetOnClose() {
-	if c != nil {
-		_ = c.SetLinger(0)
+// ResetOnClose sets whether the caller sees a reset in place of the end of the connection, also if this process is killed.
+func (c *Conn) ResetOnClose(reset bool) {
+	if c == nil {
+		return
+	}
+	linger := -1
+	if reset {
+		linger = 0
 	}
+	_ = c.SetLinger(linger)
 }
 
 // Discard ends the charges of a refused request, whose memory is no longer used.
