outbound: keep the connections of the test's endpoint

The endpoint's connections were only held by goroutines that never use them, so its garbage collector could close them, which is a sound end.

--- a/internal/outbound/killed_test.go
+++ b/internal/outbound/killed_test.go
@@ -43,7 +43,7 @@
 			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n")
 			}
-			select {}
+			_, _ = io.Copy(io.Discard, c)
 		}()
 	}
 }
