dispatch: check the first ID of each part of a stream

Callers see, with a runner that begins again in place of going on: events that they have, if a block without an ID, such as a retry field, came before the first event, or if IDs aren't numbers.

Cause: only the first events of a part that were passed on were compared with the last one, and IDs that aren't numbers never were.

Measured: the cases 'block without an event', 'event without an ID, then' and 'same ID that is no number' of TestContinuationThatMayRepeatEventsIsNotPassedOn failed before and pass.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -55,6 +55,8 @@
 	// answered is set once an event of a stream has arrived; begun is set once a part of the body was passed on to the caller.
 	answered bool
 	begun    bool
+	// numbered is set once an event with an ID has arrived, which must follow the last one that the caller has.
+	numbered bool
 	// body is what has arrived of a response that is passed on as a whole; bodyBytes is the size of all that has arrived.
 	body      []byte
 	bodyBytes int
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -56,12 +56,15 @@
 	if a.answered && len(u.data) > 0 {
 		c.recordProgress(a, a.progress.WithData(a.lastUpdate))
 	}
-	if id, ok := firstEventID(events); ok && !a.begun && !follows(c.lastEventID, id) {
-		return c.handleBreak(a, &ResumeError{
-			Status:      a.response.Status,
-			ContentType: c.contentType,
-			EventID:     id,
-		})
+	if id, ok := firstEventID(events); ok && !a.numbered {
+		a.numbered = true
+		if !follows(c.lastEventID, id) {
+			return c.handleBreak(a, &ResumeError{
+				Status:      a.response.Status,
+				ContentType: c.contentType,
+				EventID:     id,
+			})
+		}
 	}
 	if len(events) > 0 {
 		if !c.passOn(a, events, -1) {
@@ -101,8 +104,12 @@
 	}
 }
 
-// follows reports whether an event ID may come after another one; IDs that aren't numbers can't be compared.
+// follows reports whether an event ID may come after another one, which is empty if there is none. Of IDs that aren't numbers, it is only
+// known that the same one must not.
 func follows(last, id string) bool {
+	if last != "" && id == last {
+		return false
+	}
 	before, err := strconv.ParseInt(last, 10, 64)
 	if err != nil {
 		return true
