--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -8,6 +8,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sys/unix"
+
+	"github.com/cowsliparch/cowsliparch/internal/endpoint"
 )
 
 const (
@@ -54,6 +56,11 @@
 			return nil
 		}
 	}
+	// The request was sent, so the error must not look like one of a request that was not.
+	var notSent *endpoint.NotSentError
+	if errors.As(err, &notSent) {
+		err = notSent.Cause
+	}
 	return &UnconfirmedEndError{
 		Address: target.Address,
 		Cause:   err,
