origin: take a service for one of a single release by a later census only

Cause: Lookup returned Single from the VM's own list of runners. That list may be older than the stream, and Informed notices a cut only after two failed reads or 1.5 s without a heartbeat, and a pause not at all. The stream of an unknown release then went to any runner.

A service now counts as one of a single release only by a census that began after the request came. The lease holder reads the registrations and answers the VMs linked to it; a VM without such an answer reads them itself. Requests share a census. After a pause or a cut, a VM also reads the log of streams before it relies on what it saw earlier. The release found binds the choice of runners, so that one of another release that joins while the request waits is not chosen either. Refusals for the expected wait stay as they were (tested).

TestVMOutOfStepFindsReleaseOfStream failed before, linked and unlinked (Single in place of v2). TestReleaseThatLeftWhileVMStoodStillCounts fails without the check for pauses, TestStreamOfOnlyReleaseDoesNotGoOnAtLaterOne without the binding; the other tests of the census are new with it. In two tests of origin, the expected origin now also names the single release, which is stricter.

go test -race of origin, dispatch, cluster, registry and serving, and of platform with -run 'Release|Resum|Stream|Take', passed.

--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"context"
 	"maps"
 	"sync"
 
@@ -28,6 +29,7 @@
 	compressedSent   int
 	resignedFence    uint64
 	receivedOrigins  []origin.Batch
+	census           func() origin.Census
 	leasePosition    logservice.Position
 	rates            []orders.Rate
 
@@ -148,3 +150,10 @@
 func (v *fakeVM) ReceiveOrigins(batches []origin.Batch) {
 	v.update(func(v *fakeVM) { v.receivedOrigins = append(v.receivedOrigins, batches...) })
 }
+
+func (v *fakeVM) Count(context.Context) origin.Census {
+	v.mu.Lock()
+	count := v.census
+	v.mu.Unlock()
+	return count()
+}
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -42,6 +42,9 @@
 	Releases []string `cbor:",omitempty"`
 	// Origins names the releases that began streams, for the lease holder to append to the log.
 	Origins []origin.Batch `cbor:",omitempty"`
+	// CensusRequest is the number of a request for a census, which Census answers.
+	CensusRequest uint64       `cbor:",omitempty"`
+	Census        *censusReply `cbor:",omitempty"`
 	// Usage describes the sender's requests at the runners.
 	Usage *usageReport `cbor:"Account,omitempty"`
 	// Occupancy is the number of requests of all VMs at each runner, sent by the lease holder.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -99,7 +99,7 @@
 		if err != nil {
 			return
 		}
-		h.handle(s, f)
+		h.handle(ctx, s, f)
 	}
 }
 
@@ -148,7 +148,7 @@
 	}
 }
 
-func (h *Hub) handle(s *session, f frame) {
+func (h *Hub) handle(ctx context.Context, s *session, f frame) {
 	h.mu.Lock()
 	s.lastReceived = h.clock.Now()
 	h.mu.Unlock()
@@ -164,6 +164,8 @@
 		h.local.ReceiveEvidence(*f.Evidence)
 	case f.Origins != nil:
 		h.local.ReceiveOrigins(f.Origins)
+	case f.CensusRequest > 0:
+		go h.replyCensus(ctx, s, f.CensusRequest)
 	case f.MissingModel != nil:
 		h.local.ReceiveMissingModel(f.MissingModel.Service, f.MissingModel.Model, f.MissingModel.Adapter)
 	case f.Request != nil:
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"context"
+
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/origin"
@@ -72,6 +74,8 @@
 	ReceiveQuarantineStatus(s quarantine.Status)
 	// ReceiveOrigins handles the releases that began streams at another VM, which this VM is to append to the log.
 	ReceiveOrigins(batches []origin.Batch)
+	// Count takes a census of the releases of runners for a linked VM.
+	Count(ctx context.Context) origin.Census
 	// QuotaReport returns the demand of this VM's client accounts since the last report, or nil if none of them has a quota.
 	QuotaReport() *quota.Report
 	// ReceiveQuotaReport handles the report of a linked VM, nil if it sent none.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -49,6 +49,7 @@
 	holderStoreUnavailable bool
 	// linksOpened counts the links opened so far.
 	linksOpened uint64
+	census      censusRequests
 }
 
 // NewSpoke returns a spoke without a link; Run opens one.
@@ -260,6 +261,8 @@
 		s.local.ReceiveGrant(f.Grant)
 	case f.Proxies != nil:
 		s.receiveProxies(link, f.Proxies)
+	case f.Census != nil:
+		s.receiveCensus(f.Census)
 	}
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -64,7 +65,9 @@
 	// lastEventID is the ID of the last event that the caller has.
 	lastEventID string
 	// release is that of the runners that can go on with the stream, nil if any can. releaseSought is set once it was looked up.
-	release       *string
+	release *string
+	// onlyRelease is the single one that the service had when the caller took up a stream, which may have another one by now.
+	onlyRelease   *string
 	releaseSought bool
 	// proxiesDeclined counts the VMs that could not take the request; proxy is the one whose response is passed on, if any.
 	proxiesDeclined int
@@ -122,7 +125,7 @@
 func (c *call) requirements() requirements {
 	needs := requirements{
 		service: c.service.Name,
-		release: c.release,
+		release: cmp.Or(c.release, c.onlyRelease),
 		tried:   c.tried,
 		pauses:  c.pauseRequirement(),
 	}
@@ -151,7 +154,7 @@
 	}
 	needs := c.requirements()
 	pick := c.d.Tracker.choose(c.d.Roster(), needs, c.d.Clock.Now())
-	if pick.runner == nil && pick.withModel == 0 && needs.model != "" && needs.release == nil {
+	if pick.runner == nil && pick.withModel == 0 && needs.model != "" && c.release == nil {
 		c.d.Demand.RecordMissing(needs.service, needs.model, needs.adapter)
 		if needs.adapter != "" {
 			pick = c.awaitAdapter(ctx, needs)
@@ -208,7 +211,7 @@
 	if c.mayHaveRun {
 		return refusal.New(http.StatusBadGateway, refusal.AnswerBroken, "no runner is left to try").WithRan(refusal.Unknown)
 	}
-	if needs.release != nil && c.pick.staying == 0 {
+	if c.release != nil && c.pick.staying == 0 {
 		return refusal.New(http.StatusServiceUnavailable, refusal.ReleaseGone, "no runner of the release that began the stream has the model")
 	}
 	refused := refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, "no runner can take the request now")
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -38,11 +38,14 @@
 	c.releaseSought = true
 	found := c.d.Origins.Lookup(ctx, c.service.Name, c.request.Resumes)
 	switch {
+	case found.Single:
+		if found.Known {
+			c.onlyRelease = &found.Release
+		}
+		return nil
 	case found.Known:
 		c.release = &found.Release
 		return nil
-	case found.Single:
-		return nil
 	default:
 		return refusal.New(http.StatusServiceUnavailable, refusal.ReleaseUnknown,
 			"it is not known which release of the runners began the stream")
--- a/internal/dispatch/origin_test.go
+++ b/internal/dispatch/origin_test.go
@@ -139,6 +139,33 @@
 	}
 }
 
+// Runners of a newer release may join, or replace all others, after the release was found to be the only one. The stream does not go on
+// there.
+func TestStreamOfOnlyReleaseDoesNotGoOnAtLaterOne(t *testing.T) {
+	only := origin.Origin{
+		Release: "v1",
+		Known:   true,
+		Single:  true,
+	}
+	t.Run("joined", func(t *testing.T) {
+		h, _ := newReleaseHarness(t, only, map[string]string{"m1": "v2", "m2": "v1", "m3": "v2", "m4": "v2"},
+			respondTyped(http.StatusOK, eventStream, nil, "id: 3\ndata: c\n\n"))
+		r := h.request("/stream/")
+		r.ResumeAfter, r.Resumes = "2", "first"
+		h.dispatcher.Serve(t.Context(), r, h.caller)
+		require.Equal(t, []string{"m2"}, h.sender.runners)
+	})
+	t.Run("replaced", func(t *testing.T) {
+		h, _ := newReleaseHarness(t, only, map[string]string{"m1": "v2"}, respondTyped(http.StatusOK, eventStream, nil, "id: 3\ndata: c\n\n"))
+		r := h.request("/stream/")
+		r.ResumeAfter, r.Resumes = "2", "first"
+		h.dispatcher.Serve(t.Context(), r, h.caller)
+		require.Zero(t, h.sender.count())
+		require.Equal(t, http.StatusServiceUnavailable, h.caller.refused.Status)
+		require.Equal(t, refusal.NotRun, h.caller.refused.Ran)
+	})
+}
+
 // The cost of a request that is refused because its stream's release is unknown goes back to its account.
 func TestCostIsReturnedIfReleaseIsUnknown(t *testing.T) {
 	h, _ := newReleaseHarness(t, origin.Origin{}, map[string]string{"m1": "v1"}, respond(http.StatusOK, "ok"))
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -93,3 +93,24 @@
 	require.Equal(t, 1, h.sender.count())
 	require.Equal(t, http.StatusOK, h.caller.status)
 }
+
+// While a service has a single release, expected waits apply to a stream that is taken up as to any other request.
+func TestTakenUpStreamOfOnlyReleaseIsRefusedAsHopeless(t *testing.T) {
+	h := overloaded(t)
+	other := route("/other/", catalog.Streaming, true, 1)
+	other.Priority = 1
+	h.catalog = catalog.New(9, catalog.Limits{}, []catalog.Route{other}, slices.Collect(maps.Values(h.catalog.Services())))
+	r := h.request("/other/")
+	r.Model, r.ResumeAfter, r.Resumes = "m", "0", "first"
+	h.dispatcher.Origins = &fakeOrigins{
+		found: origin.Origin{
+			Known:  true,
+			Single: true,
+		},
+		started: make(map[string]string),
+		caller:  h.caller,
+	}
+	h.dispatcher.Serve(t.Context(), r, h.caller)
+	require.Zero(t, h.sender.count())
+	require.Equal(t, refusal.TooLate, h.caller.refused.Code)
+}
--- a/internal/dispatch/proxy.go
+++ b/internal/dispatch/proxy.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
 	"time"
@@ -128,7 +129,7 @@
 		Version:  c.version,
 		Account:  c.accountName(),
 		Attempts: c.attempts - 1,
-		Release:  c.release,
+		Release:  cmp.Or(c.release, c.onlyRelease),
 	}
 }
 
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -4,6 +4,9 @@
 // It answers this failure: while releases are mixed, runners or VMs end, and callers take up their streams at VMs that did not serve
 // them, also after all VMs lost power at once. While a service has several releases, and for as long afterwards as a caller may take
 // up a stream, every VM reports the streams that it began, and the lease holder appends them to a log stream, from which a VM reads
-// what it doesn't know. With a single release all the while, nothing is reported or read. A stream is not taken up if its release is
-// unknown and there may be several.
+// what it doesn't know. A stream is not taken up if its release is unknown and there may be several.
+//
+// A VM that was cut off or stood still may not know of a release that others use. So it takes a service for one of a single release only
+// by a Census that began after the caller's request came: the lease holder reads the registrations for all VMs that are linked to it, and
+// any other VM reads them itself. Requests that wait for a census share it.
 package origin
--- a/internal/origin/lookup.go
+++ b/internal/origin/lookup.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
@@ -19,16 +20,20 @@
 	// Release is the release, if it is Known.
 	Release string
 	Known   bool
-	// Single is set if the service had a single release for as long as a stream may be taken up, so that any runner suits.
+	// Single is set if the service had a single release for as long as a stream may be taken up.
 	Single bool
 }
 
 // Lookup returns the release that began the stream of a request of any VM. It waits for a short time for one that is being reported, and
-// for a read of the log that began later than the lookup.
+// for a read of the log that began later than the lookup. What this VM knew of the releases before the lookup does not count, because it
+// may have been out of step with the VM that began the stream.
 func (t *Tracker) Lookup(ctx context.Context, service, requestID string) Origin {
 	t.observe()
 	k := keyOf(requestID)
 	started := t.Clock.Now()
+	ctx, cancel := clockwork.WithTimeout(ctx, t.Clock, maxLookupTime)
+	defer cancel()
+	var counted bool
 	for {
 		if b, ok := t.get(k); ok && b.service == service {
 			return Origin{
@@ -36,15 +41,24 @@
 				Known:   true,
 			}
 		}
-		now := t.Clock.Now()
-		if t.single(service, now) {
-			return Origin{Single: true}
+		if !counted && !t.mixes.mixedWithin(service, memory, t.Clock.Now()) {
+			census, err := t.censuses.get(ctx)
+			if release, ok := census.Single[service]; ok && !t.mixes.mixedWithin(service, memory, t.Clock.Now()) {
+				return Origin{
+					Release: release,
+					Known:   true,
+					Single:  true,
+				}
+			}
+			if counted = err == nil; counted {
+				continue
+			}
 		}
 		limit := maxLookupTime
 		if t.readSince(started) {
 			limit = lookupTimeout
 		}
-		left := started.Add(limit).Sub(now)
+		left := started.Add(limit).Sub(t.Clock.Now())
 		if ctx.Err() != nil || left <= 0 {
 			return Origin{}
 		}
@@ -71,20 +85,6 @@
 	return t.others.get(k)
 }
 
-// single reports whether the service is known to have had a single release for as long as a stream may be taken up. Of the time before
-// its start, a VM knows that from the log only. A VM that is cut off may not know of a release that others use.
-func (t *Tracker) single(service string, now time.Time) bool {
-	if !t.Peers.Informed() || t.mixes.mixedWithin(service, memory, now) {
-		return false
-	}
-	if now.Sub(t.startedAt) >= memory {
-		return true
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.readToEnd.IsZero() && now.Sub(t.loggedAt[service]) >= memory
-}
-
 // read reads what was appended to the log since the last read. The pause between two reads keeps all VMs together within the rate of the
 // log.
 func (t *Tracker) read(ctx context.Context) error {
@@ -95,12 +95,17 @@
 	if wait > 0 {
 		pause.For(ctx, t.Clock, wait)
 	}
+	return t.readPage(ctx, interval)
+}
+
+// readPage reads the next page of the log, waiting for a record if there is none.
+func (t *Tracker) readPage(ctx context.Context, wait time.Duration) error {
 	t.mu.Lock()
 	began := t.Clock.Now()
 	t.lastRead = began
 	from := t.next
 	t.mu.Unlock()
-	page, err := t.Log.Read(ctx, Stream, from, interval)
+	page, err := t.Log.Read(ctx, Stream, from, wait)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changed *logservice.EraChangedError
--- a/internal/origin/mix.go
+++ b/internal/origin/mix.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"iter"
+	"maps"
 	"sync"
 	"time"
 
@@ -38,7 +40,7 @@
 	}
 	m.view = view
 	var begun []string
-	for service, current := range releasesOf(view) {
+	for service, current := range releasesOf(maps.Values(view.All())) {
 		before, known := m.services[service]
 		if !known {
 			before = &mix{release: current.release}
@@ -54,10 +56,10 @@
 	return begun
 }
 
-// releasesOf returns the releases of each service's runners.
-func releasesOf(view *roster.View) map[string]mix {
+// releasesOf returns the releases of each service among runners.
+func releasesOf(runners iter.Seq[*roster.Runner]) map[string]mix {
 	releases := make(map[string]mix)
-	for _, runner := range view.All() {
+	for runner := range runners {
 		seen, ok := releases[runner.Service]
 		if !ok {
 			seen.release = runner.Release
--- a/internal/origin/system_test.go
+++ b/internal/origin/system_test.go
@@ -1,9 +1,12 @@
 package origin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,6 +96,8 @@
 	vms    []*vm
 	// count is the number of VMs that a VM knows of.
 	count int
+	// registrationReads counts the reads of the registrations.
+	registrationReads atomic.Int64
 }
 
 // vm is one VM with a tracker; the first one of the system holds the lease.
@@ -105,12 +110,30 @@
 	// cut is set while the VM reaches neither the store nor other VMs, unlinked while it has no link.
 	cut      atomic.Bool
 	unlinked atomic.Bool
+	// outdated is what the VM knows of the runners while it is out of step, nil otherwise.
+	outdated atomic.Pointer[roster.View]
+	// suspended is for how long the VM was suspended.
+	suspended atomic.Int64
+	startedAt time.Time
 }
 
 func (v *vm) HoldsLease() bool { return v.holder.Load() == v }
 func (v *vm) Links() uint64    { return v.links.Load() }
 func (v *vm) Informed() bool   { return !v.cut.Load() }
 func (v *vm) VMs() int         { return v.count }
+
+// Elapsed implements boottime.Clock.
+func (v *vm) Elapsed() time.Duration {
+	return time.Since(v.startedAt) + time.Duration(v.suspended.Load())
+}
+
+func (v *vm) Census(ctx context.Context) (Census, bool) {
+	if v.unlinked.Load() || v.cut.Load() || v.HoldsLease() {
+		return Census{}, false
+	}
+	return v.holder.Load().tracker.Count(ctx), true
+}
+
 func (v *vm) SendOrigins(batches []Batch) bool {
 	if v.unlinked.Load() || v.HoldsLease() {
 		return false
@@ -144,6 +167,19 @@
 	s.roster.Replace(runners, time.Now())
 }
 
+// registrations reads the registrations from the store, which is as available as the log.
+func (s *system) registrations(context.Context) ([]*roster.Runner, error) {
+	s.registrationReads.Add(1)
+	view := s.roster.View()
+	time.Sleep(4 * time.Millisecond)
+	var down bool
+	s.log.update(func(l *memoryLog) { down = l.down })
+	if down {
+		return nil, errDown
+	}
+	return slices.Collect(maps.Values(view.All())), nil
+}
+
 func (s *system) runner(release string) *roster.Runner {
 	return &roster.Runner{
 		ID:          "runner-" + release,
@@ -155,17 +191,22 @@
 }
 
 func (s *system) addVM() *vm {
-	v := &vm{count: s.count}
+	v := &vm{
+		count:     s.count,
+		startedAt: time.Now(),
+	}
 	v.holder.Store(v)
 	if len(s.vms) > 0 {
 		v.holder.Store(s.vms[0])
 	}
 	v.tracker = New(Dependencies{
-		Log:    s.log,
-		Peers:  v,
-		Roster: s.roster.View,
-		Clock:  clockwork.NewRealClock(),
-		Logger: slog.New(slog.DiscardHandler),
+		Log:           s.log,
+		Registrations: s.registrations,
+		Peers:         v,
+		Roster:        func() *roster.View { return cmp.Or(v.outdated.Load(), s.roster.View()) },
+		Clock:         clockwork.NewRealClock(),
+		BootClock:     v,
+		Logger:        slog.New(slog.DiscardHandler),
 	})
 	s.vms = append(s.vms, v)
 	ctx, stop := context.WithCancel(context.Background())
@@ -201,3 +242,12 @@
 		Release: release,
 	}
 }
+
+// single is the origin of a stream of a service that had no other release.
+func single(release string) Origin {
+	return Origin{
+		Release: release,
+		Known:   true,
+		Single:  true,
+	}
+}
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/cowsliparch/cowsliparch/internal/boottime"
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/pause"
@@ -64,29 +65,36 @@
 	Links() uint64
 	// Informed reports whether this VM learns of new runners, from the store or from another VM.
 	Informed() bool
+	// Census returns a census that the VM to which this one is linked takes after the call, and false if there is none in time.
+	Census(ctx context.Context) (Census, bool)
 	// VMs returns the number of VMs.
 	VMs() int
 }
 
 // Dependencies holds what a tracker uses.
 type Dependencies struct {
-	Log    Log
-	Peers  Peers
-	Roster func() *roster.View
-	Clock  clockwork.Clock
-	Logger *slog.Logger
+	Log           Log
+	Registrations Registrations
+	Peers         Peers
+	Roster        func() *roster.View
+	Clock         clockwork.Clock
+	// BootClock shows for how long this VM stood still.
+	BootClock boottime.Clock
+	Logger    *slog.Logger
 }
 
 // Tracker remembers which release began a stream; it is safe for concurrent use.
 type Tracker struct {
 	Dependencies
-	startedAt time.Time
-	mixes     mixes
+	mixes mixes
 	// own has the streams that began here, others those read from the log.
 	own    *index
 	others *index
 	// reads lets requests that look for streams share a read of the log.
 	reads singleflight.Group
+	// counts and censuses let them, and other VMs, share a look at the releases that began after they asked.
+	counts   fresh[Census]
+	censuses fresh[Census]
 	// appends waits for the appends under way, of which there are appending.
 	appends   sync.WaitGroup
 	appending atomic.Int32
@@ -106,19 +114,35 @@
 	readToEnd time.Time
 	// loggedAt is the time of the newest batch of each service in the log.
 	loggedAt map[string]time.Time
+	// observedAt is when the releases were looked at last, as time since boot, and observedSince since when no change of them can have
+	// been missed.
+	observedAt    time.Duration
+	observedSince time.Time
 }
 
 // New returns a tracker; Run reports streams.
 func New(d Dependencies) *Tracker {
-	return &Tracker{
-		Dependencies: d,
-		startedAt:    d.Clock.Now(),
-		mixes:        mixes{services: make(map[string]*mix)},
-		own:          newIndex(memory / 2),
-		others:       newIndex(memory / 2),
-		outgoing:     make(pending),
-		loggedAt:     make(map[string]time.Time),
+	t := &Tracker{
+		Dependencies:  d,
+		mixes:         mixes{services: make(map[string]*mix)},
+		own:           newIndex(memory / 2),
+		others:        newIndex(memory / 2),
+		outgoing:      make(pending),
+		loggedAt:      make(map[string]time.Time),
+		observedAt:    d.BootClock.Elapsed(),
+		observedSince: d.Clock.Now(),
 	}
+	t.counts = fresh[Census]{
+		clock:    d.Clock,
+		fetch:    t.count,
+		interval: t.countInterval,
+	}
+	t.censuses = fresh[Census]{
+		clock:    d.Clock,
+		fetch:    t.takeCensus,
+		interval: func() time.Duration { return minCensusInterval },
+	}
+	return t
 }
 
 // RecordStart records that a runner sends the first event of a stream to its caller.
@@ -149,7 +173,7 @@
 	finalCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	// Callers may take up streams as soon as this VM is ready.
-	t.reads.DoChan("", func() (any, error) { return nil, t.read(finalCtx) })
+	t.reads.DoChan("", func() (any, error) { return nil, t.readPage(finalCtx, 0) })
 	for ctx.Err() == nil {
 		t.observe()
 		t.report(finalCtx)
@@ -176,7 +200,9 @@
 
 // observe looks for services that have begun to have several releases, and has the streams that began before reported.
 func (t *Tracker) observe() {
-	for _, service := range t.mixes.observe(t.Roster(), t.Clock.Now()) {
+	now := t.Clock.Now()
+	t.noteObservation(now)
+	for _, service := range t.mixes.observe(t.Roster(), now) {
 		event.ReleasesMixed.Log(t.Logger, slog.String("Service", service))
 		t.mu.Lock()
 		for release, keys := range t.own.all(service) {
--- a/internal/origin/tracker_test.go
+++ b/internal/origin/tracker_test.go
@@ -68,7 +68,7 @@
 		s := newSystem(2, "v1")
 		for i := range 100 {
 			s.vms[0].tracker.RecordStart(fmt.Sprint("stream-", i), s.runner("v1"))
-			require.Equal(t, Origin{Single: true}, s.vms[1].lookup(fmt.Sprint("stream-", i)))
+			require.Equal(t, single("v1"), s.vms[1].lookup(fmt.Sprint("stream-", i)))
 			time.Sleep(memory / 100)
 		}
 		reads, appends := s.log.calls()
@@ -88,7 +88,7 @@
 		time.Sleep(memory - time.Second)
 		require.Equal(t, Origin{}, s.vms[0].lookup("unknown"))
 		time.Sleep(2 * time.Second)
-		require.Equal(t, Origin{Single: true}, s.vms[0].lookup("unknown"))
+		require.Equal(t, single("v2"), s.vms[0].lookup("unknown"))
 		s.end()
 	})
 }
--- a/internal/serving/origin.go
+++ b/internal/serving/origin.go
@@ -1,6 +1,41 @@
 package serving
 
-import "github.com/cowsliparch/cowsliparch/internal/origin"
+import (
+	"context"
+
+	"github.com/cowsliparch/cowsliparch/internal/origin"
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+// Count implements cluster.LocalVM.
+func (s *Server) Count(ctx context.Context) origin.Census { return s.origins.Count(ctx) }
+
+func (s *Server) newOrigins() *origin.Tracker {
+	return origin.New(origin.Dependencies{
+		Log:           s.Origins,
+		Registrations: s.readRegistrations,
+		Peers:         &originPeers{server: s},
+		Roster:        s.roster.View,
+		Clock:         s.Clock,
+		BootClock:     s.BootClock,
+		Logger:        s.Logger,
+	})
+}
+
+// readRegistrations implements origin.Registrations.
+func (s *Server) readRegistrations(ctx context.Context) ([]*roster.Runner, error) {
+	read, err := s.Source.Runners(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var runners []*roster.Runner
+	for _, change := range read.Changes {
+		if change.Runner != nil {
+			runners = append(runners, change.Runner)
+		}
+	}
+	return runners, nil
+}
 
 // ReceiveOrigins implements cluster.LocalVM.
 func (s *Server) ReceiveOrigins(batches []origin.Batch) { s.origins.Receive(batches) }
@@ -24,5 +59,13 @@
 // Informed implements origin.Peers.
 func (p *originPeers) Informed() bool { return !p.server.StoreUnavailable() || p.server.spoke.Linked() }
 
+// Census implements origin.Peers.
+func (p *originPeers) Census(ctx context.Context) (origin.Census, bool) {
+	if p.server.HoldsLease() {
+		return origin.Census{}, false
+	}
+	return p.server.spoke.Census(ctx)
+}
+
 // VMs implements origin.Peers.
 func (p *originPeers) VMs() int { return p.server.vmCount() }
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -111,13 +111,7 @@
 		Clock:        d.Clock,
 		Logger:       d.Logger,
 	})
-	s.origins = origin.New(origin.Dependencies{
-		Log:    d.Origins,
-		Peers:  &originPeers{server: s},
-		Roster: s.roster.View,
-		Clock:  d.Clock,
-		Logger: d.Logger,
-	})
+	s.origins = s.newOrigins()
 	s.quotas = newQuotas(d.BootClock, s.quotaAccounts)
 	s.reach = s.newReach()
 	s.proxies = s.newProxies()
