dispatch: test which VM looks for the release of a stream sent through another one

A request that a VM without a path to the runners sends through another one must not go on by stale knowledge there either. findRelease runs at the VM that reaches the runners, so it uses that VM's census. The test passes on as well; it guards the order of the two steps.

--- a/internal/dispatch/proxy_test.go
+++ b/internal/dispatch/proxy_test.go
@@ -211,6 +211,19 @@
 	require.Equal(t, refusal.ReleaseUnknown, h.caller.refused.Code)
 }
 
+// The VM through which a request was sent looks for the release of its stream, because it is the one that chooses the runner.
+func TestReleaseIsSoughtByVMThatReachesRunners(t *testing.T) {
+	h, origins := newReleaseHarness(t, origin.Origin{}, map[string]string{"m1": "v1"}, stream(io.EOF, secondEvent))
+	h.withProxies(nil)
+	r := h.request("/stream/")
+	r.ResumeAfter, r.Resumes = "1", "first"
+	r.Proxied = &dispatch.Proxied{VM: "v1"}
+	h.dispatcher.Serve(t.Context(), r, h.caller)
+	require.Equal(t, []string{"first"}, origins.lookups)
+	require.Zero(t, h.sender.count())
+	require.Equal(t, refusal.ReleaseUnknown, h.caller.refused.Code)
+}
+
 // endingCut ends the cut when a request is sent through another VM.
 type endingCut struct {
 	dispatch.Proxies
