origin, cluster: have other VMs keep streams that began beside a single release

Cause: while a service has a single release, VMs reported nothing. They reported what they had begun once they saw a second release, which a VM that is out of step does not.

Whoever keeps such streams reports them as its own once it sees several releases. A new lease holder is told of all that may still be taken up.

TestStreamsOfVMThatStandsStillAreKnown failed before.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -220,5 +220,12 @@
 	require.Eventually(t, func() bool { return p.spoke.SendOrigins([]origin.Batch{batch}) }, waitTimeout, pollInterval)
 	require.Eventually(t, p.holder.check(func(v *fakeVM) bool { return len(v.receivedOrigins) > 0 }), waitTimeout, pollInterval)
 	p.holder.update(func(v *fakeVM) { require.Equal(t, batch, v.receivedOrigins[0]) })
+	p.spoke.SendStarts([]origin.Batch{batch})
+	require.Eventually(t, p.holder.check(func(v *fakeVM) bool { return len(v.receivedStarts) > 0 }), waitTimeout, pollInterval)
+	p.holder.update(func(v *fakeVM) { require.Equal(t, batch, v.receivedStarts[0]) })
+	require.Eventually(t, func() bool { return len(p.hub.Members()) == 2 }, waitTimeout, pollInterval)
+	p.hub.SendStarts([]origin.Batch{batch})
+	require.Eventually(t, p.other.check(func(v *fakeVM) bool { return len(v.receivedStarts) > 0 }), waitTimeout, pollInterval)
+	p.other.update(func(v *fakeVM) { require.Equal(t, batch, v.receivedStarts[0]) })
 	require.True(t, p.spoke.Linked())
 }
--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -29,6 +29,7 @@
 	compressedSent   int
 	resignedFence    uint64
 	receivedOrigins  []origin.Batch
+	receivedStarts   []origin.Batch
 	census           func() origin.Census
 	leasePosition    logservice.Position
 	rates            []orders.Rate
@@ -157,3 +158,7 @@
 	v.mu.Unlock()
 	return count()
 }
+
+func (v *fakeVM) ReceiveStarts(batches []origin.Batch) {
+	v.update(func(v *fakeVM) { v.receivedStarts = append(v.receivedStarts, batches...) })
+}
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -40,6 +40,8 @@
 	Changes []roster.Change `cbor:",omitempty"`
 	// Releases holds the releases of Runners or Changes, in their order; omitted if none states one.
 	Releases []string `cbor:",omitempty"`
+	// Starts names streams that began while their service had a single release, for the lease holder to remember.
+	Starts []origin.Batch `cbor:",omitempty"`
 	// Origins names the releases that began streams, for the lease holder to append to the log.
 	Origins []origin.Batch `cbor:",omitempty"`
 	// CensusRequest is the number of a request for a census, which Census answers.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -43,6 +43,7 @@
 	sessions map[*session]bool
 	// membersVersion counts the changes of the membership.
 	membersVersion int
+	keepers        keepers
 	// heldSince is when this VM was first seen to hold the lease, zero while it does not.
 	heldSince time.Time
 }
@@ -164,6 +165,9 @@
 		h.local.ReceiveEvidence(*f.Evidence)
 	case f.Origins != nil:
 		h.local.ReceiveOrigins(f.Origins)
+	case f.Starts != nil:
+		h.local.ReceiveStarts(f.Starts)
+		h.sendStarts(s, f.Starts)
 	case f.CensusRequest > 0:
 		go h.replyCensus(ctx, s, f.CensusRequest)
 	case f.MissingModel != nil:
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -72,6 +72,8 @@
 	QuarantineStatus() quarantine.Status
 	// ReceiveQuarantineStatus handles what another VM decided on prompt sections.
 	ReceiveQuarantineStatus(s quarantine.Status)
+	// ReceiveStarts handles the streams that began at another VM while their service had a single release.
+	ReceiveStarts(batches []origin.Batch)
 	// ReceiveOrigins handles the releases that began streams at another VM, which this VM is to append to the log.
 	ReceiveOrigins(batches []origin.Batch)
 	// Count takes a census of the releases of runners for a linked VM.
--- a/internal/cluster/releases.go
+++ b/internal/cluster/releases.go
@@ -9,11 +9,16 @@
 func (h *Hub) BroadcastChanges(changes []roster.Change) { h.broadcast(changesFrame(changes)) }
 
 // SendOrigins reports the releases that began streams to the lease holder, and returns false if there is no link to it.
-func (s *Spoke) SendOrigins(batches []origin.Batch) bool {
+func (s *Spoke) SendOrigins(batches []origin.Batch) bool { return s.trySend(frame{Origins: batches}) }
+
+// SendStarts reports streams that began while their service had a single release to the lease holder, if there is a link to it.
+func (s *Spoke) SendStarts(batches []origin.Batch) { _ = s.trySend(frame{Starts: batches}) }
+
+func (s *Spoke) trySend(f frame) bool {
 	s.mu.Lock()
 	link := s.link
 	s.mu.Unlock()
-	return link != nil && link.TrySend(frame{Origins: batches})
+	return link != nil && link.TrySend(f)
 }
 
 // Linked reports whether there is a link to the lease holder or to another VM.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -261,6 +261,8 @@
 		s.local.ReceiveGrant(f.Grant)
 	case f.Proxies != nil:
 		s.receiveProxies(link, f.Proxies)
+	case f.Starts != nil:
+		s.local.ReceiveStarts(f.Starts)
 	case f.Census != nil:
 		s.receiveCensus(f.Census)
 	}
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -9,4 +9,7 @@
 // A VM that was cut off or stood still may not know of a release that others use. So it takes a service for one of a single release only
 // by a Census that began after the caller's request came: the lease holder reads the registrations for all VMs that are linked to it, and
 // any other VM reads them itself. Requests that wait for a census share it.
+//
+// A VM may be lost, or out of step, when runners of a second release join, before it has reported what it began. So VMs also report streams
+// while there is a single release: to the lease holder and, through it, to a few VMs that keep them.
 package origin
--- a/internal/origin/index.go
+++ b/internal/origin/index.go
@@ -83,17 +83,15 @@
 	return i.origins[position], true
 }
 
-// all returns the keys of the streams of a service by release.
-func (i *index) all(service string) map[string][]key {
+// collect adds the streams of a service, or of all if it is empty, to those that are to be reported.
+func (i *index) collect(service string, p pending) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	byRelease := make(map[string][]key)
 	for _, generation := range []map[key]uint16{i.older, i.newer} {
 		for k, position := range generation {
-			if b := i.origins[position]; b.service == service {
-				byRelease[b.release] = append(byRelease[b.release], k)
+			if b := i.origins[position]; service == "" || b.service == service {
+				p.add(b, k)
 			}
 		}
 	}
-	return byRelease
 }
--- a/internal/origin/lookup.go
+++ b/internal/origin/lookup.go
@@ -82,6 +82,9 @@
 	if b, ok := t.own.get(k); ok {
 		return b, true
 	}
+	if b, ok := t.kept.get(k); ok {
+		return b, true
+	}
 	return t.others.get(k)
 }
 
--- a/internal/origin/outofstep_test.go
+++ b/internal/origin/outofstep_test.go
@@ -32,6 +32,56 @@
 	}
 }
 
+// Streams that a VM began while there was a single release are known to others even if it stands still, or is cut off, when runners of a
+// second one join, and also if the lease holder changed since they began or is cut off as well.
+func TestStreamsOfVMThatStandsStillAreKnown(t *testing.T) {
+	for name, c := range map[string]struct {
+		holderEnds bool
+		holderCut  bool
+	}{
+		"same holder":    {},
+		"other holder":   {holderEnds: true},
+		"holder cut off": {holderCut: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(4, "v1")
+				holder, still, keeper, other := s.vms[0], s.vms[1], s.vms[2], s.vms[3]
+				time.Sleep(memory)
+				if c.holderCut {
+					holder.keeper.Store(keeper)
+				}
+				still.tracker.RecordStart("stream", s.runner("v1"))
+				time.Sleep(2 * idleInterval)
+				outOfStep := []*vm{still}
+				switch {
+				case c.holderEnds:
+					holder.stop()
+					for _, v := range s.vms[1:] {
+						v.holder.Store(keeper)
+						v.links.Add(1)
+					}
+					time.Sleep(2 * idleInterval)
+				case c.holderCut:
+					outOfStep = append(outOfStep, holder)
+					keeper.unlinked.Store(true)
+					other.unlinked.Store(true)
+				}
+				for _, v := range outOfStep {
+					v.unlinked.Store(true)
+					v.cut.Store(true)
+					v.outdated.Store(s.roster.View())
+				}
+				s.setReleases("v1", "v2")
+				time.Sleep(idleInterval)
+				require.Equal(t, known("v1"), other.lookup("stream"))
+				require.Equal(t, Origin{}, other.lookup("unknown"))
+				s.end()
+			})
+		})
+	}
+}
+
 // Runners of a second release join and leave while a VM stands still, so that it finds a single release before and afterwards.
 func TestReleaseThatLeftWhileVMStoodStillCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/origin/system_test.go
+++ b/internal/origin/system_test.go
@@ -102,7 +102,9 @@
 
 // vm is one VM with a tracker; the first one of the system holds the lease.
 type vm struct {
-	holder  atomic.Pointer[vm]
+	holder atomic.Pointer[vm]
+	// keeper is the VM to which this one, as lease holder, passes streams on.
+	keeper  atomic.Pointer[vm]
 	links   atomic.Uint64
 	count   int
 	tracker *Tracker
@@ -142,6 +144,19 @@
 	return true
 }
 
+func (v *vm) SendStarts(batches []Batch) {
+	if v.unlinked.Load() {
+		return
+	}
+	holder := v.holder.Load()
+	if v != holder {
+		holder.tracker.ReceiveStarts(batches)
+	}
+	if keeper := holder.keeper.Load(); keeper != nil {
+		keeper.tracker.ReceiveStarts(batches)
+	}
+}
+
 func newSystem(vms int, releases ...string) *system {
 	s := &system{
 		count: vms,
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -59,6 +59,8 @@
 type Peers interface {
 	// HoldsLease reports whether this VM appends for all VMs.
 	HoldsLease() bool
+	// SendStarts has other VMs keep streams that began while their service had a single release, if there are links.
+	SendStarts(batches []Batch)
 	// SendOrigins reports streams over the present link to the lease holder, and returns false if there is none.
 	SendOrigins(batches []Batch) bool
 	// Links returns the number of links to lease holders that were opened so far.
@@ -87,8 +89,10 @@
 type Tracker struct {
 	Dependencies
 	mixes mixes
-	// own has the streams that began here, others those read from the log.
+	// own has the streams that began here, kept those of other VMs that began while their service had a single release, others those read
+	// from the log.
 	own    *index
+	kept   *index
 	others *index
 	// reads lets requests that look for streams share a read of the log.
 	reads singleflight.Group
@@ -100,6 +104,10 @@
 	appending atomic.Int32
 
 	mu sync.Mutex
+	// starts are the streams of services of a single release that are to be reported, and startsLink is the number of the link to which
+	// earlier ones were.
+	starts     pending
+	startsLink uint64
 	// outgoing are the streams to be reported, reported those that were within confirmTime, over the link with number link, and
 	// received those that other VMs reported and the log lacks.
 	outgoing   pending
@@ -126,7 +134,9 @@
 		Dependencies:  d,
 		mixes:         mixes{services: make(map[string]*mix)},
 		own:           newIndex(memory / 2),
+		kept:          newIndex(memory / 2),
 		others:        newIndex(memory / 2),
+		starts:        make(pending),
 		outgoing:      make(pending),
 		loggedAt:      make(map[string]time.Time),
 		observedAt:    d.BootClock.Elapsed(),
@@ -145,22 +155,6 @@
 	return t
 }
 
-// RecordStart records that a runner sends the first event of a stream to its caller.
-func (t *Tracker) RecordStart(requestID string, runner *roster.Runner) {
-	now := t.Clock.Now()
-	b := begun{
-		service: runner.Service,
-		release: runner.Release,
-	}
-	k := keyOf(requestID)
-	t.own.add(k, b, now)
-	if t.mixes.mixedWithin(runner.Service, memory, now) {
-		t.mu.Lock()
-		t.outgoing.add(b, k)
-		t.mu.Unlock()
-	}
-}
-
 // Receive handles the report of another VM, which this VM is to append to the log.
 func (t *Tracker) Receive(batches []Batch) {
 	t.mu.Lock()
@@ -176,6 +170,7 @@
 	t.reads.DoChan("", func() (any, error) { return nil, t.readPage(finalCtx, 0) })
 	for ctx.Err() == nil {
 		t.observe()
+		t.reportStarts()
 		t.report(finalCtx)
 		pause.For(ctx, t.Clock, t.interval())
 	}
@@ -205,12 +200,8 @@
 	for _, service := range t.mixes.observe(t.Roster(), now) {
 		event.ReleasesMixed.Log(t.Logger, slog.String("Service", service))
 		t.mu.Lock()
-		for release, keys := range t.own.all(service) {
-			t.outgoing.add(begun{
-				service: service,
-				release: release,
-			}, keys...)
-		}
+		t.own.collect(service, t.outgoing)
+		t.kept.collect(service, t.outgoing)
 		t.mu.Unlock()
 	}
 }
--- a/internal/serving/origin.go
+++ b/internal/serving/origin.go
@@ -7,6 +7,9 @@
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
+// ReceiveStarts implements cluster.LocalVM.
+func (s *Server) ReceiveStarts(batches []origin.Batch) { s.origins.ReceiveStarts(batches) }
+
 // Count implements cluster.LocalVM.
 func (s *Server) Count(ctx context.Context) origin.Census { return s.origins.Count(ctx) }
 
@@ -53,6 +56,15 @@
 	return p.server.spoke.SendOrigins(batches)
 }
 
+// SendStarts implements origin.Peers.
+func (p *originPeers) SendStarts(batches []origin.Batch) {
+	if p.server.HoldsLease() {
+		p.server.hub.SendStarts(batches)
+		return
+	}
+	p.server.spoke.SendStarts(batches)
+}
+
 // Links implements origin.Peers.
 func (p *originPeers) Links() uint64 { return p.server.spoke.LinksOpened() }
 
