--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -142,8 +142,8 @@
 	if refused := c.quarantineRefusal(); refused != nil {
 		return choice{}, refused
 	}
-	if c.usesProxy() {
-		return c.pickProxy()
+	if c.cutOff() {
+		return c.pickBeyondReach()
 	}
 	refused := c.findRelease(ctx)
 	if ctx.Err() != nil {
@@ -162,6 +162,10 @@
 	}
 	c.pick = pick
 	if pick.runner == nil {
+		// All runners may have refused connections before this VM could know that it reaches none.
+		if c.d.Reach.Await(ctx) && c.cutOff() {
+			return c.pickBeyondReach()
+		}
 		return pick, c.noRunnerRefusal(needs)
 	}
 	if c.shedsByCost() {
--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// Read implements io.Reader; it returns io.EOF only after the complete body. If the body ends with its connection, that is known as far
-// as the endpoint still runs, and UnconfirmedEndError takes the place of io.EOF otherwise.
+// Read implements io.Reader; it returns io.EOF only after the complete body. If the body ends with its connection, it is complete
+// only if the endpoint still runs; otherwise, UnconfirmedEndError takes the place of io.EOF.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.response.Body.Read(b)
 	if !errors.Is(err, io.EOF) {
@@ -83,9 +83,9 @@
 		r.conn.writeErr == nil && !r.CloseDelimited()
 }
 
-// CloseDelimited reports whether the end of the body is marked only by the end of the connection.
+// CloseDelimited reports whether the end of the body is marked only by the end of the connection. Responses to HEAD have no body.
 func (r *Response) CloseDelimited() bool {
-	return r.response.ContentLength < 0 && len(r.response.TransferEncoding) == 0
+	return r.response.ContentLength < 0 && len(r.response.TransferEncoding) == 0 && r.response.Body != http.NoBody
 }
 
 // discard reads and drops the body of a response; it fails if the body is too large.
