--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"context"
+
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/origin"
@@ -70,8 +72,12 @@
 	QuarantineStatus() quarantine.Status
 	// ReceiveQuarantineStatus handles what another VM decided on prompt sections.
 	ReceiveQuarantineStatus(s quarantine.Status)
+	// ReceiveStarts handles the streams that began at another VM while their service had a single release.
+	ReceiveStarts(batches []origin.Batch)
 	// ReceiveOrigins handles the releases that began streams at another VM, which this VM is to append to the log.
 	ReceiveOrigins(batches []origin.Batch)
+	// Count takes a census of the releases of runners for a linked VM.
+	Count(ctx context.Context) origin.Census
 	// QuotaReport returns the demand of this VM's client accounts since the last report, or nil if none of them has a quota.
 	QuotaReport() *quota.Report
 	// ReceiveQuotaReport handles the report of a linked VM, nil if it sent none.
--- a/internal/dispatch/proxy.go
+++ b/internal/dispatch/proxy.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -147,7 +148,7 @@
 		Version:  c.version,
 		Account:  c.accountName(),
 		Attempts: c.attempts - 1,
-		Release:  c.release,
+		Release:  cmp.Or(c.release, c.onlyRelease),
 	}
 }
 
--- a/internal/origin/system_test.go
+++ b/internal/origin/system_test.go
@@ -1,9 +1,12 @@
 package origin
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,11 +96,15 @@
 	vms    []*vm
 	// count is the number of VMs that a VM knows of.
 	count int
+	// registrationReads counts the reads of the registrations.
+	registrationReads atomic.Int64
 }
 
 // vm is one VM with a tracker; the first one of the system holds the lease.
 type vm struct {
-	holder  atomic.Pointer[vm]
+	holder atomic.Pointer[vm]
+	// keeper is the VM to which this one, as lease holder, passes streams on.
+	keeper  atomic.Pointer[vm]
 	links   atomic.Uint64
 	count   int
 	tracker *Tracker
@@ -105,12 +112,30 @@
 	// cut is set while the VM reaches neither the store nor other VMs, unlinked while it has no link.
 	cut      atomic.Bool
 	unlinked atomic.Bool
+	// outdated is what the VM knows of the runners while it is out of step, nil otherwise.
+	outdated atomic.Pointer[roster.View]
+	// suspended is for how long the VM was suspended.
+	suspended atomic.Int64
+	startedAt time.Time
 }
 
 func (v *vm) HoldsLease() bool { return v.holder.Load() == v }
 func (v *vm) Links() uint64    { return v.links.Load() }
 func (v *vm) Informed() bool   { return !v.cut.Load() }
 func (v *vm) VMs() int         { return v.count }
+
+// Elapsed implements boottime.Clock.
+func (v *vm) Elapsed() time.Duration {
+	return time.Since(v.startedAt) + time.Duration(v.suspended.Load())
+}
+
+func (v *vm) Census(ctx context.Context) (Census, bool) {
+	if v.unlinked.Load() || v.cut.Load() || v.HoldsLease() {
+		return Census{}, false
+	}
+	return v.holder.Load().tracker.Count(ctx), true
+}
+
 func (v *vm) SendOrigins(batches []Batch) bool {
 	if v.unlinked.Load() || v.HoldsLease() {
 		return false
@@ -119,6 +144,19 @@
 	return true
 }
 
+func (v *vm) SendStarts(batches []Batch) {
+	if v.unlinked.Load() {
+		return
+	}
+	holder := v.holder.Load()
+	if v != holder {
+		holder.tracker.ReceiveStarts(batches)
+	}
+	if keeper := holder.keeper.Load(); keeper != nil {
+		keeper.tracker.ReceiveStarts(batches)
+	}
+}
+
 func newSystem(vms int, releases ...string) *system {
 	s := &system{
 		count: vms,
@@ -144,6 +182,19 @@
 	s.roster.Replace(runners, time.Now())
 }
 
+// registrations reads the registrations from the store, which is as available as the log.
+func (s *system) registrations(context.Context) ([]*roster.Runner, error) {
+	s.registrationReads.Add(1)
+	view := s.roster.View()
+	time.Sleep(4 * time.Millisecond)
+	var down bool
+	s.log.update(func(l *memoryLog) { down = l.down })
+	if down {
+		return nil, errDown
+	}
+	return slices.Collect(maps.Values(view.All())), nil
+}
+
 func (s *system) runner(release string) *roster.Runner {
 	return &roster.Runner{
 		ID:          "runner-" + release,
@@ -155,17 +206,22 @@
 }
 
 func (s *system) addVM() *vm {
-	v := &vm{count: s.count}
+	v := &vm{
+		count:     s.count,
+		startedAt: time.Now(),
+	}
 	v.holder.Store(v)
 	if len(s.vms) > 0 {
 		v.holder.Store(s.vms[0])
 	}
 	v.tracker = New(Dependencies{
-		Log:    s.log,
-		Peers:  v,
-		Roster: s.roster.View,
-		Clock:  clockwork.NewRealClock(),
-		Logger: slog.New(slog.DiscardHandler),
+		Log:           s.log,
+		Registrations: s.registrations,
+		Peers:         v,
+		Roster:        func() *roster.View { return cmp.Or(v.outdated.Load(), s.roster.View()) },
+		Clock:         clockwork.NewRealClock(),
+		BootClock:     v,
+		Logger:        slog.New(slog.DiscardHandler),
 	})
 	s.vms = append(s.vms, v)
 	ctx, stop := context.WithCancel(context.Background())
@@ -201,3 +257,12 @@
 		Release: release,
 	}
 }
+
+// single is the origin of a stream of a service that had no other release.
+func single(release string) Origin {
+	return Origin{
+		Release: release,
+		Known:   true,
+		Single:  true,
+	}
+}
