--- a/internal/cluster/aggregator.go
+++ b/internal/cluster/aggregator.go
@@ -58,6 +58,7 @@
 		if a.local.HoldsLease() {
 			a.broadcastTotals()
 			a.hub.broadcastPaces()
+			a.hub.broadcastBrittleness()
 			if grants := a.local.QuotaGrants(); len(grants) > 0 {
 				a.hub.sendGrants(grants)
 			}
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"github.com/cowsliparch/cowsliparch/internal/brittle"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/origin"
@@ -54,6 +55,8 @@
 	Quarantine *quarantine.Status `cbor:",omitempty"`
 	// Paces holds paces of runners, sent by the lease holder.
 	Paces pacing.Paces `cbor:",omitempty"`
+	// Brittle holds what runners state on how many requests they can reject, sent by the lease holder.
+	Brittle brittle.Statements `cbor:",omitempty"`
 	// Grant is the receiver's share of the quotas of client accounts, sent by the lease holder.
 	Grant *quota.Grant `cbor:",omitempty"`
 	// Proxies is sent by the lease holder to a VM that is cut off from the runners.
@@ -70,6 +73,8 @@
 	Uses      []roster.ModelUse `cbor:",omitempty"`
 	// Paces holds the lowest figures that runners reported to the sender since its last report.
 	Paces pacing.Paces `cbor:",omitempty"`
+	// Brittle holds what runners stated to the sender on how many requests they can reject.
+	Brittle brittle.Statements `cbor:",omitempty"`
 	// Quota is the demand of the client accounts with a quota; omitted if there are none.
 	Quota *quota.Report `cbor:",omitempty"`
 	// CutOff reports that the sender reaches no runner, Stopping that it is about to stop.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -178,6 +178,7 @@
 			h.local.ReceiveQuotaReport(vm, f.Usage.Quota)
 		}
 		h.recordPaces(f.Usage)
+		h.recordBrittleness(f.Usage)
 		h.recordReach(s, f.Usage)
 		requestNewerConfiguration(s.link, h.local, f.Usage.Version)
 	case receiveConfiguration(h.local, f):
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -12,6 +12,7 @@
 // LocalVM provides this VM's state to its links and handles what other VMs send.
 type LocalVM interface {
 	PaceKeeper
+	BrittlenessKeeper
 	ProxyVM
 	// HoldsLease reports whether this VM holds the order lease.
 	HoldsLease() bool
--- a/internal/cluster/proxies.go
+++ b/internal/cluster/proxies.go
@@ -174,6 +174,7 @@
 		Occupancy: s.local.Occupancy(),
 		Uses:      s.local.ModelsInUse(),
 		Paces:     s.local.TakeSeenPaces(),
+		Brittle:   s.local.BrittlenessReceived(),
 		Quota:     s.local.QuotaReport(),
 		CutOff:    s.local.CutOff(),
 		Stopping:  s.local.Stopping(),
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -256,6 +256,8 @@
 		s.local.ReceiveQuarantineStatus(*f.Quarantine)
 	case f.Paces != nil:
 		s.local.ReceivePaces(f.Paces)
+	case f.Brittle != nil:
+		s.local.ReceiveBrittleness(f.Brittle)
 	case f.Grant != nil:
 		s.local.ReceiveGrant(f.Grant)
 	case f.Proxies != nil:
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -125,6 +125,8 @@
 		release: c.release,
 		tried:   c.tried,
 		pauses:  c.pauseRequirement(),
+		vms:     c.d.VMs(),
+		urgent:  c.rank <= c.service.FirstPriority || c.underWay(),
 	}
 	if c.service.Engine != nil {
 		needs.model, needs.adapter = c.request.Model, c.request.Adapter
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -52,6 +52,10 @@
 	pauses pauseRequirement
 	// release is the only release of runners that suits, or nil if any does.
 	release *string
+	// vms is the number of VMs that share the runners.
+	vms int
+	// urgent is set if the request ranks before those that runners let wait.
+	urgent bool
 	// tried lists the runners that the request was already sent to.
 	tried []string
 }
@@ -61,6 +65,7 @@
 func (t *Tracker) choose(view *roster.View, needs requirements, now time.Time) choice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.vms = needs.vms
 	t.preparePaces(view, needs, now)
 	best := t.pickRunner(view, needs, now, false)
 	if best.runner == nil && best.withModel > 0 {
@@ -125,11 +130,12 @@
 	if runner.Draining || state.isLeaving(runner) {
 		return
 	}
-	pause := state.pauseLeft(runner, now)
+	hasRoom, roomIn := t.roomAt(runner, state, needs, now)
+	pause := max(state.pauseLeft(runner, now), roomIn)
 	if best.staying++; best.staying == 1 || pause < best.pause {
 		best.pause = pause
 	}
-	if pause > 0 || slices.Contains(needs.tried, runner.ID) || (!includeBackoff && state != nil && state.backingOff(now)) {
+	if pause > 0 || !hasRoom || slices.Contains(needs.tried, runner.ID) || (!includeBackoff && state != nil && state.backingOff(now)) {
 		return
 	}
 	best.ready++
--- a/internal/dispatch/notice.go
+++ b/internal/dispatch/notice.go
@@ -62,6 +62,7 @@
 
 // responseReceived records what the head of a response says about further requests.
 func (t *Tracker) responseReceived(runner *roster.Runner, response *Response, now time.Time) {
+	t.recordBrittleness(runner, response, now)
 	if response.Leaving {
 		t.RecordLeaving(runner, now)
 	}
--- /dev/null
+++ b/internal/dispatch/replay_brittle_test.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowsliparch/cowsliparch/internal/roster"
+)
+
+// brittleTime is a time in which runners let fewer requests wait and fall over if they reject too many within a second.
+type brittleTime struct {
+	// stated is set if the runners say so in their answers, from statedFrom on.
+	stated               bool
+	statedFrom, from, to time.Duration
+	tolerance, queue     int
+	downFor              time.Duration
+	// unlinked is the share of VMs that neither report their requests to the others nor get the totals.
+	unlinked float64
+}
+
+// brittleRunner is what a runner counts in a brittle time.
+type brittleRunner struct {
+	rejections []time.Duration
+	downUntil  time.Duration
+	// starts counts how often the runner fell over; requests of an earlier start are lost.
+	starts int
+}
+
+// queueLimit returns how many requests may wait at a runner.
+func (r *replay) queueLimit() int {
+	if b := r.brittle; b != nil && r.now >= b.from && r.now < b.to {
+		return b.queue
+	}
+	return r.queue
+}
+
+// tolerance returns what runners state in their answers.
+func (r *replay) tolerance() int {
+	if b := r.brittle; b != nil && b.stated && r.now >= b.statedFrom && r.now < b.to {
+		return b.tolerance
+	}
+	return 0
+}
+
+// linked reports whether a VM exchanges counts with the others.
+func (r *replay) linked(vm int) bool {
+	return r.brittle == nil || vm >= int(r.brittle.unlinked*float64(r.vms))
+}
+
+// reject turns a request away, and ends the runner if it did so too often.
+func (r *replay) reject(request *replayRequest) {
+	r.result.rejected++
+	runner, tolerance := request.runner, r.tolerance()
+	if b := r.brittle; b != nil && r.now >= b.from && r.now < b.to {
+		runner.rejections = slices.DeleteFunc(runner.rejections, func(at time.Duration) bool { return r.now-at >= time.Second })
+		if runner.rejections = append(runner.rejections, r.now); len(runner.rejections) > b.tolerance {
+			r.result.falls++
+			runner.rejections, runner.downUntil = nil, r.now+b.downFor
+			runner.starts++
+			runner.running, runner.waiting = 0, nil
+		}
+	}
+	r.fail(request, &Response{
+		Status:  http.StatusServiceUnavailable,
+		NotRun:  true,
+		Brittle: tolerance,
+	})
+}
+
+// fail tells the VM that the request didn't run, with the runner's response if there is one. The VM tries another runner once.
+func (r *replay) fail(request *replayRequest, response *Response) {
+	runner := request.runner
+	r.at(r.now+r.roundTrip(request.vm, runner)/2, func() {
+		tracker, now := r.trackers[request.vm], start.Add(r.now)
+		registered, _ := r.view.Runner(runner.id)
+		if response != nil {
+			tracker.responseReceived(registered, response, now)
+		}
+		tracker.recordResult(registered, false, now)
+		tracker.requestEnded(roster.ModelUse{Runner: runner.id, Model: "m"})
+		if len(request.tried) > 0 {
+			r.refuse(request, 0)
+			return
+		}
+		request.tried = append(request.tried, runner.id)
+		r.send(request)
+	})
+}
+
+// brittleFleet is a small fleet with a popular model whose runners are brittle for 15 s.
+var brittleFleet = replayPattern{
+	vms:              9,
+	domains:          3,
+	runnersPerDomain: 3,
+	slots:            24,
+	queue:            24,
+	serviceTime:      700 * time.Millisecond,
+	load:             1.5,
+	totalsInterval:   218 * time.Millisecond,
+	totalsDelay:      30 * time.Millisecond,
+	objective:        500 * time.Millisecond,
+	duration:         25 * time.Second,
+	deadline:         4 * time.Second,
+	brittle: &brittleTime{
+		stated:     true,
+		statedFrom: 4 * time.Second,
+		from:       8 * time.Second,
+		to:         20 * time.Second,
+		tolerance:  3,
+		queue:      3,
+		downFor:    4 * time.Second,
+	},
+}
+
+// While their runners say that they are brittle, VMs must not overrun them: at most 2 + a tenth of the runners may fall over, whether
+// VMs hear from each other or not. If they don't say so, they fall over far more often.
+func TestBrittleRunnersStayUp(t *testing.T) {
+	for name, change := range map[string]func(*replayPattern){
+		"overload": func(*replayPattern) {},
+		"burst": func(p *replayPattern) {
+			p.load, p.surge, p.surgeFrom, p.surgeTo = 0.6, 4, 9*time.Second, 15*time.Second
+		},
+		"without wait": func(p *replayPattern) { p.brittle.queue = 0 },
+		"one rejection": func(p *replayPattern) {
+			p.brittle.tolerance, p.brittle.queue = 1, 1
+		},
+		"urgent requests": func(p *replayPattern) { p.sendAll = true },
+		"urgent requests, without wait": func(p *replayPattern) {
+			p.sendAll, p.brittle.queue = true, 0
+		},
+		"some unlinked": func(p *replayPattern) { p.brittle.unlinked = 0.4 },
+		"all unlinked":  func(p *replayPattern) { p.brittle.unlinked = 1 },
+		"few slots": func(p *replayPattern) {
+			p.domains, p.runnersPerDomain, p.slots, p.queue, p.serviceTime = 3, 1, 6, 6, 60*time.Millisecond
+			p.brittle.queue = 1
+		},
+		"many slots":  func(p *replayPattern) { p.slots, p.queue = 64, 64 },
+		"large fleet": func(p *replayPattern) { p.vms, p.slots, p.queue, p.totalsInterval = 90, 64, 64, 400*time.Millisecond },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				pattern := brittleFleet
+				times := *brittleFleet.brittle
+				pattern.brittle = &times
+				change(&pattern)
+				silentTimes := *pattern.brittle
+				silentTimes.stated = false
+				silent := pattern
+				silent.brittle = &silentTimes
+				before, got := newReplay(silent, seed).run(), newReplay(pattern, seed).run()
+				t.Logf("not stated: %v", before)
+				t.Logf("stated:     %v", got)
+				allowed := 2 + pattern.domains*pattern.runnersPerDomain/10
+				require.Greater(t, before.falls, allowed)
+				require.LessOrEqual(t, got.falls, allowed)
+				require.GreaterOrEqual(t, got.share(got.inTime+got.late), before.share(before.inTime+before.late))
+			}
+		})
+	}
+}
--- a/internal/dispatch/replay_pattern_test.go
+++ b/internal/dispatch/replay_pattern_test.go
@@ -30,6 +30,8 @@
 	deadline   time.Duration
 	// sendAll makes VMs send every request, however long its expected wait, and ask refused callers to come back in 0.3 s.
 	sendAll bool
+	// brittle is nil unless the runners are brittle for a time.
+	brittle *brittleTime
 }
 
 // largeFleet is the pattern of a popular model on 295 VMs, whose totals are 0.8 s apart.
@@ -53,13 +55,15 @@
 	asked, inTime, late, rejected int
 	// left counts the callers who left before the first token, refused those who were refused when they came back.
 	left, refused int
+	// falls counts how often brittle runners fell over.
+	falls int
 	// busiest is the most requests that a runner got, relative to the mean.
 	busiest float64
 }
 
 func (r replayResult) String() string {
-	return fmt.Sprintf("asked %d, in time %.3f, late %.3f, rejected %.3f, left %.3f, refused %.3f, busiest/mean %.2f", r.asked,
-		r.share(r.inTime), r.share(r.late), r.share(r.rejected), r.share(r.left), r.share(r.refused), r.busiest)
+	return fmt.Sprintf("asked %d, in time %.3f, late %.3f, rejected %.3f, left %.3f, refused %.3f, falls %d, busiest/mean %.2f", r.asked,
+		r.share(r.inTime), r.share(r.late), r.share(r.rejected), r.share(r.left), r.share(r.refused), r.falls, r.busiest)
 }
 
 func (r replayResult) share(n int) float64 { return float64(n) / float64(r.asked) }
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -18,6 +18,7 @@
 	running  int
 	waiting  []*replayRequest
 	arrivals int
+	brittleRunner
 }
 
 func (r *replayRunner) inFlight() int { return r.running + len(r.waiting) }
@@ -29,6 +30,9 @@
 	sent     time.Duration
 	cameBack bool
 	runner   *replayRunner
+	// tried lists the runners that rejected the request; start is the start of the runner that it was sent to.
+	tried []string
+	start int
 }
 
 // replayEvent is something that happens at a time.
@@ -62,7 +66,7 @@
 	ordered  []*replayRunner
 	trackers []*Tracker
 	// choose returns the runner for a request of a VM, nil for none.
-	choose func(vm int) (best *replayRunner, expected time.Duration, admit float64)
+	choose func(request *replayRequest) (best *replayRunner, expected time.Duration, admit float64)
 	result replayResult
 	// attempts counts the attempts since the last totals.
 	attempts int
@@ -103,8 +107,18 @@
 		tracker.recordServiceTime("s", pattern.serviceTime)
 		r.trackers = append(r.trackers, tracker)
 	}
-	r.choose = func(vm int) (*replayRunner, time.Duration, float64) {
-		pick := r.trackers[vm].choose(r.view, requirements{service: "s", model: "m", limit: r.objective}, start.Add(r.now))
+	r.choose = func(request *replayRequest) (*replayRunner, time.Duration, float64) {
+		pick := r.trackers[request.vm].choose(r.view, requirements{
+			service: "s",
+			model:   "m",
+			limit:   r.objective,
+			vms:     r.vms,
+			urgent:  r.sendAll,
+			tried:   request.tried,
+		}, start.Add(r.now))
+		if pick.runner == nil {
+			return nil, pick.pause + r.objective, 1
+		}
 		if r.sendAll {
 			return r.runners[pick.runner.ID], pick.score, 1
 		}
@@ -115,12 +129,12 @@
 
 // chooseWithFullKnowledge replaces the choice by that of a VM that knows every runner's present requests.
 func (r *replay) chooseWithFullKnowledge() {
-	r.choose = func(vm int) (*replayRunner, time.Duration, float64) {
+	r.choose = func(request *replayRequest) (*replayRunner, time.Duration, float64) {
 		var best *replayRunner
 		bestCost := time.Duration(0)
 		for _, runner := range r.ordered {
 			queued := max(runner.inFlight()-r.slots+1, 0)
-			cost := r.roundTrip(vm, runner) + time.Duration(runner.inFlight())*6*time.Millisecond +
+			cost := r.roundTrip(request.vm, runner) + time.Duration(runner.inFlight())*6*time.Millisecond +
 				time.Duration(float64(queued)*runner.slowness)*r.serviceTime/time.Duration(r.slots)
 			if best == nil || cost < bestCost {
 				best, bestCost = runner, cost
@@ -179,10 +193,19 @@
 	request.vm = r.random.IntN(r.vms)
 	request.sent = r.now
 	r.attempts++
+	r.send(request)
+}
+
+// send sends a request to a runner or refuses it.
+func (r *replay) send(request *replayRequest) {
 	var expected time.Duration
 	var admit float64
-	request.runner, expected, admit = r.choose(request.vm)
-	if !r.sendAll && (!patience.WorthSending(expected, r.objective) || r.random.Float64() >= admit) {
+	request.runner, expected, admit = r.choose(request)
+	if request.runner == nil {
+		r.refuse(request, expected-r.objective)
+		return
+	}
+	if len(request.tried) == 0 && !r.sendAll && (!patience.WorthSending(expected, r.objective) || r.random.Float64() >= admit) {
 		r.refuse(request, expected-r.objective)
 		return
 	}
@@ -194,15 +217,16 @@
 func (r *replay) reach(request *replayRequest) {
 	runner := request.runner
 	runner.arrivals++
+	request.start = runner.starts
 	switch {
+	case r.now < runner.downUntil:
+		r.fail(request, nil)
 	case runner.running < r.slots:
 		r.begin(request)
-	case len(runner.waiting) < r.queue:
+	case len(runner.waiting) < r.queueLimit():
 		runner.waiting = append(runner.waiting, request)
 	default:
-		r.result.rejected++
-		r.end(request)
-		r.refuse(request, 0)
+		r.reject(request)
 	}
 }
 
@@ -240,12 +264,17 @@
 		r.result.late++
 	}
 	report := ReportedLoad{Running: runner.running, Waiting: len(runner.waiting), Slots: r.slots}
+	stated := r.tolerance()
 	r.at(first, func() {
 		registered, _ := r.view.Runner(runner.id)
+		r.trackers[request.vm].responseReceived(registered, &Response{Brittle: stated}, start.Add(r.now))
 		r.trackers[request.vm].loadReported(registered, report, start.Add(r.now))
 	})
 	took := time.Duration(r.random.ExpFloat64() * runner.slowness * float64(r.serviceTime))
 	r.at(r.now+took, func() {
+		if request.start != runner.starts {
+			return
+		}
 		runner.running--
 		r.trackers[request.vm].recordServiceTime("s", took)
 		r.end(request)
@@ -271,13 +300,18 @@
 // sendTotals sums the requests that all VMs have at each runner and delivers the totals to every VM.
 func (r *replay) sendTotals() {
 	totals := make(roster.Occupancy)
-	for _, tracker := range r.trackers {
-		totals.Add(tracker.Occupancy())
+	for vm, tracker := range r.trackers {
+		if r.linked(vm) {
+			totals.Add(tracker.Occupancy())
+		}
 	}
 	perSecond := float64(r.attempts) / r.totalsInterval.Seconds()
 	r.attempts = 0
 	r.at(r.now+r.totalsDelay, func() {
-		for _, tracker := range r.trackers {
+		for vm, tracker := range r.trackers {
+			if !r.linked(vm) {
+				continue
+			}
 			tracker.ApplyOccupancy(totals, start.Add(r.now))
 			tracker.ApplyRequestRate("s", "m", perSecond, start.Add(r.now))
 		}
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -53,6 +53,8 @@
 	Leaving bool
 	// RetryAfter is the time for which the runner asks for no further request, or 0 if it does not.
 	RetryAfter time.Duration
+	// Brittle is how many requests the runner can reject within a second, or 0 if it states no limit.
+	Brittle int
 	// Load is nil if the runner did not report its load.
 	Load *ReportedLoad
 	// Refused is set if a VM through which the request was sent refused it itself.
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cowsliparch/cowsliparch/internal/brittle"
 	"github.com/cowsliparch/cowsliparch/internal/loadbalance"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -24,6 +25,9 @@
 	// requestRates is the demand of all VMs for each model.
 	requestRates map[serviceModel]requestRate
 	paces        paces
+	brittle      *brittle.Board
+	// vms is the number of VMs as of the last choice.
+	vms int
 	// random returns a number in [0, 1).
 	random func() float64
 	// picker, compared and candidates are the memory of a choice.
@@ -58,6 +62,7 @@
 		serviceTimes: make(map[string]time.Duration),
 		requestRates: make(map[serviceModel]requestRate),
 		paces:        newPaces(),
+		brittle:      brittle.New(),
 		random:       rand.Float64,
 	}
 }
@@ -90,6 +95,7 @@
 		}
 	}
 	t.prunePaces(view, now)
+	t.pruneBrittleness(view, now)
 }
 
 // state returns what is known of a runner; the caller holds the lock.
@@ -166,6 +172,7 @@
 	defer t.mu.Unlock()
 	t.state(runner.ID).applyReport(report, now)
 	t.figureReported(runner.ID, report.Figure, now)
+	t.brittle.RecordReport(runner.ID, report.Running, report.Waiting)
 }
 
 // Occupancy returns this VM's requests at the runners, and records them as announced to the other VMs.
