--- a/internal/brittle/board.go
+++ b/internal/brittle/board.go
@@ -7,12 +7,6 @@
 	MaxTolerance = 1 << 16
 	// ownStatementTTL is how long a runner's own statement takes precedence over those of other runners of its service.
 	ownStatementTTL = time.Second
-	// figureTTL is how long the figures of a runner's requests are relied on.
-	figureTTL = 2 * time.Second
-	// refreshInterval is the shortest time between two figures of a runner that are taken over.
-	refreshInterval = 100 * time.Millisecond
-	// queueDivisor is the slots of a runner for each request that may wait there.
-	queueDivisor = 8
 	// minPause and maxPause limit how long a VM takes no further room at a runner after a rejection.
 	minPause = 300 * time.Millisecond
 	maxPause = 5 * time.Second
@@ -29,24 +23,6 @@
 	runners  map[string]*runner
 }
 
-// runner is what is known of a runner of a service whose runners state a limit.
-type runner struct {
-	stated statement
-	// queues and processes are set by the newest report by which requests waited; processes is how many the runner worked on.
-	queues    bool
-	processes int
-	// refreshedAt is when figures were last taken over, and figureAt when these had arrived. own is the number of this VM's requests then, total that of all VMs, and draw a
-	// random number in [0, 1) that rounds this VM's share.
-	refreshedAt time.Time
-	figureAt    time.Time
-	own         int
-	total       int
-	draw        float64
-	// pausedUntil is the end of the time after a rejection in which this VM has no more than taken requests at the runner.
-	pausedUntil time.Time
-	taken       int
-}
-
 // New returns a board that knows of no limits.
 func New() *Board {
 	return &Board{
@@ -59,6 +35,7 @@
 type Answer struct {
 	Service string
 	Runner  string
+	Slots   int
 	// Tolerance is how many requests the runner can reject within a second, or 0 if it states no limit.
 	Tolerance int
 	// Rejected is set if the runner had no room for the request.
@@ -81,14 +58,13 @@
 		return
 	}
 	r := b.runner(a.Runner)
-	r.stated = s
 	if s.tolerance == 0 {
-		r.pausedUntil, r.queues = time.Time{}, false
+		*r = runner{stated: s}
 		return
 	}
+	r.stated = s
 	if a.Rejected {
-		r.pausedUntil = now.Add(pause(s.tolerance, a.VMs, random()))
-		r.taken = max(a.Own, 0)
+		r.reject(a.Own, a.Slots, now.Add(pause(s.tolerance, a.VMs, random())), now)
 	}
 }
 
@@ -101,9 +77,9 @@
 }
 
 // RecordReport records a runner's report of how many requests it works on and how many wait.
-func (b *Board) RecordReport(id string, running, waiting int) {
+func (b *Board) RecordReport(id string, running, waiting int, now time.Time) {
 	if r, known := b.runners[id]; known {
-		r.queues, r.processes = waiting > 0, running
+		r.report(running, waiting, now)
 	}
 }
 
@@ -141,3 +117,33 @@
 	}
 	return 0
 }
+
+// Query asks for room at a runner.
+type Query struct {
+	Service string
+	Runner  string
+	Slots   int
+	// VMs is the number of VMs that send requests to the runner.
+	VMs int
+	// Own is the number of this VM's requests at the runner, Others that of the other VMs as of UpdatedAt.
+	Own       int
+	Others    int
+	UpdatedAt time.Time
+	// Urgent requests may also take the places in which requests wait at the runner.
+	Urgent bool
+}
+
+// HasRoom reports whether this VM may send one more request to a runner; random returns a number in [0, 1). If not, retryIn is when it may
+// probably do so, or 0 if that isn't known.
+func (b *Board) HasRoom(q Query, random func() float64, now time.Time) (ok bool, retryIn time.Duration) {
+	if b.tolerance(q.Service, q.Runner, now) == 0 {
+		return true, 0
+	}
+	r := b.runner(q.Runner)
+	r.own.record(q.Own, now)
+	r.redraw(random, now)
+	if now.Before(r.pausedUntil) && q.Own >= r.taken {
+		return false, r.pausedUntil.Sub(now)
+	}
+	return q.Own < r.limit(q, now), 0
+}
--- /dev/null
+++ b/internal/brittle/runner.go
@@ -0,0 +1,118 @@
+package brittle
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// reportLag is how long ago a VM sent the newest requests that a runner's own report includes, totalLag the same of totals.
+	reportLag = 100 * time.Millisecond
+	totalLag  = 450 * time.Millisecond
+	// reportTTL is how long a runner's own report takes precedence over totals.
+	reportTTL = 300 * time.Millisecond
+	// figureTTL is how long figures of a runner's requests are relied on.
+	figureTTL = 2 * time.Second
+	// queueDivisor is the slots of a runner for each urgent request that may wait there.
+	queueDivisor = 8
+	// reserveDivisor is the slots of a runner for each place that is not used after a rejection, and reserveTime how long it is not.
+	reserveDivisor = 12
+	reserveTime    = 3 * time.Second
+)
+
+// runner is what is known of a runner of a service whose runners state a limit.
+type runner struct {
+	stated statement
+	// reported is the number of requests of all VMs by the runner's newest report. If requests waited there, processed is the number
+	// that it worked on, else 0.
+	reported   int
+	processed  int
+	reportedAt time.Time
+	own        history
+	// draw is a random number in [0, 1) that rounds this VM's share of the room, drawnAt when it was drawn.
+	draw    float64
+	drawnAt time.Time
+	// pausedUntil is the end of the time after a rejection in which this VM has no more than taken requests at the runner.
+	pausedUntil time.Time
+	taken       int
+	// rejectedAt is when the runner last rejected a request of this VM; reserved is the number of places that were left free then.
+	rejectedAt time.Time
+	reserved   float64
+}
+
+// report records how many requests the runner works on and how many wait.
+func (r *runner) report(running, waiting int, now time.Time) {
+	r.reported, r.processed, r.reportedAt = running+waiting, 0, now
+	if waiting > 0 {
+		r.processed = running
+	}
+}
+
+// reserve returns how many places are left free because of rejections.
+func (r *runner) reserve(slots int, now time.Time) float64 {
+	return max(r.reserved-reserveStep(slots)*float64(now.Sub(r.rejectedAt))/float64(reserveTime), 0)
+}
+
+// reserveStep is how many more places are left free after a rejection.
+func reserveStep(slots int) float64 { return max(float64(slots)/reserveDivisor, 1) }
+
+// reject records a rejection, after which the VM takes no further room until a time. The runner has taken the given number of requests
+// of this VM.
+func (r *runner) reject(taken, slots int, until, now time.Time) {
+	if now.Sub(r.rejectedAt) > reportLag {
+		r.reserved = min(r.reserve(slots, now)+reserveStep(slots), float64(slots)/2)
+	}
+	r.rejectedAt, r.pausedUntil, r.taken = now, until, max(taken, 0)
+}
+
+// limit returns how many requests this VM may have at the runner. All VMs together have no more than the runner takes if each adds its
+// share of the room to what it had when the figures were made, or gives up its share of the excess.
+func (r *runner) limit(q Query, now time.Time) int {
+	if q.Slots <= 0 {
+		return math.MaxInt
+	}
+	places, vms := r.places(q, now), float64(max(q.VMs, 1))
+	total, own := 0, 0
+	switch {
+	case now.Sub(r.reportedAt) < reportTTL || (now.Sub(r.reportedAt) < figureTTL && !q.UpdatedAt.After(r.reportedAt)):
+		own = r.own.at(r.reportedAt.Add(-reportLag))
+		total = max(r.reported, own)
+	case now.Sub(q.UpdatedAt) < figureTTL:
+		own = r.own.at(q.UpdatedAt.Add(-totalLag))
+		total = own + q.Others
+	default:
+		return r.round(places / vms)
+	}
+	if float64(total) > places {
+		return r.round(float64(own) * max(places, 0) / float64(total))
+	}
+	limit := own + r.round((places-float64(total))/vms)
+	if 2*total < q.Slots {
+		// A runner that is mostly free has room for those that have nothing there.
+		limit = max(limit, 1)
+	}
+	return limit
+}
+
+// redraw draws the number that rounds shares anew after a time.
+func (r *runner) redraw(random func() float64, now time.Time) {
+	if now.Sub(r.drawnAt) >= totalLag {
+		r.draw, r.drawnAt = random(), now
+	}
+}
+
+// round rounds a share up or down, in proportion to its fraction, so that the shares of all VMs add up to the whole.
+func (r *runner) round(share float64) int { return int(share + r.draw) }
+
+// places returns how many requests the runner takes. Requests that wait although slots are free wait for something else that the runner
+// lacks.
+func (r *runner) places(q Query, now time.Time) float64 {
+	places := q.Slots
+	if r.processed > 0 && now.Sub(r.reportedAt) < figureTTL {
+		places = min(places, r.processed)
+	}
+	if q.Urgent {
+		places += (q.Slots + queueDivisor - 1) / queueDivisor
+	}
+	return float64(places) - r.reserve(q.Slots, now)
+}
--- a/internal/dispatch/replay_brittle_test.go
+++ b/internal/dispatch/replay_brittle_test.go
@@ -28,6 +28,8 @@
 	downUntil  time.Duration
 	// starts counts how often the runner fell over; requests of an earlier start are lost.
 	starts int
+	// active lists the requests that the runner works on.
+	active []*replayRequest
 }
 
 // queueLimit returns how many requests may wait at a runner.
@@ -61,7 +63,10 @@
 			r.result.falls++
 			runner.rejections, runner.downUntil = nil, r.now+b.downFor
 			runner.starts++
-			runner.running, runner.waiting = 0, nil
+			for _, lost := range append(runner.active, runner.waiting...) {
+				r.breakOff(lost)
+			}
+			runner.running, runner.waiting, runner.active = 0, nil, nil
 		}
 	}
 	r.fail(request, &Response{
@@ -71,6 +76,16 @@
 	})
 }
 
+// breakOff tells the VM that the connection of a request broke off.
+func (r *replay) breakOff(request *replayRequest) {
+	runner := request.runner
+	r.at(r.now+r.roundTrip(request.vm, runner)/2, func() {
+		registered, _ := r.view.Runner(runner.id)
+		r.trackers[request.vm].recordResult(registered, false, start.Add(r.now))
+		r.trackers[request.vm].requestEnded(roster.ModelUse{Runner: runner.id, Model: "m"})
+	})
+}
+
 // fail tells the VM that the request didn't run, with the runner's response if there is one. The VM tries another runner once.
 func (r *replay) fail(request *replayRequest, response *Response) {
 	runner := request.runner
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/patience"
@@ -253,6 +254,7 @@
 func (r *replay) begin(request *replayRequest) {
 	runner := request.runner
 	runner.running++
+	runner.active = append(runner.active, request)
 	roundTrip := r.roundTrip(request.vm, runner)
 	first := r.now + time.Duration(40+5*runner.running)*time.Millisecond + roundTrip/2
 	switch {
@@ -276,6 +278,7 @@
 			return
 		}
 		runner.running--
+		runner.active = slices.DeleteFunc(runner.active, func(other *replayRequest) bool { return other == request })
 		r.trackers[request.vm].recordServiceTime("s", took)
 		r.end(request)
 		for len(runner.waiting) > 0 && runner.running < r.slots {
