--- a/internal/brittle/board.go
+++ b/internal/brittle/board.go
@@ -129,7 +129,7 @@
 	Own       int
 	Others    int
 	UpdatedAt time.Time
-	// Urgent requests may also take the places in which requests wait at the runner.
+	// Urgent requests may take slots that are kept free for them.
 	Urgent bool
 }
 
--- a/internal/brittle/runner.go
+++ b/internal/brittle/runner.go
@@ -13,11 +13,13 @@
 	reportTTL = 300 * time.Millisecond
 	// figureTTL is how long figures of a runner's requests are relied on.
 	figureTTL = 2 * time.Second
-	// queueDivisor is the slots of a runner for each urgent request that may wait there.
-	queueDivisor = 8
+	// spareShare is the share of a runner's slots that is kept free for requests that weren't foreseen, urgentShare the share that only
+	// urgent requests take besides.
+	spareShare  = 1.0 / 12
+	urgentShare = 1.0 / 12
 	// reserveDivisor is the slots of a runner for each place that is not used after a rejection, and reserveTime how long it is not.
 	reserveDivisor = 12
-	reserveTime    = 3 * time.Second
+	reserveTime    = 6 * time.Second
 )
 
 // runner is what is known of a runner of a service whose runners state a limit.
@@ -107,12 +109,13 @@
 // places returns how many requests the runner takes. Requests that wait although slots are free wait for something else that the runner
 // lacks.
 func (r *runner) places(q Query, now time.Time) float64 {
-	places := q.Slots
+	places := float64(q.Slots)
 	if r.processed > 0 && now.Sub(r.reportedAt) < figureTTL {
-		places = min(places, r.processed)
+		places = min(places, float64(r.processed))
 	}
-	if q.Urgent {
-		places += (q.Slots + queueDivisor - 1) / queueDivisor
+	kept := spareShare
+	if !q.Urgent {
+		kept += urgentShare
 	}
-	return float64(places) - r.reserve(q.Slots, now)
+	return places*(1-kept) - r.reserve(q.Slots, now)
 }
