--- a/internal/brittle/board.go
+++ b/internal/brittle/board.go
@@ -76,10 +76,10 @@
 	return time.Duration(float64(mean) * (1 - pauseSpread/2 + pauseSpread*random))
 }
 
-// RecordReport records a runner's report of how many requests it works on and how many wait.
-func (b *Board) RecordReport(id string, running, waiting int, now time.Time) {
+// RecordReport records a runner's report of how many requests it works on and how many wait. That of a rejection follows RecordAnswer.
+func (b *Board) RecordReport(id string, running, waiting, slots int, now time.Time) {
 	if r, known := b.runners[id]; known {
-		r.report(running, waiting, now)
+		r.report(running, waiting, slots, now)
 	}
 }
 
--- a/internal/brittle/runner.go
+++ b/internal/brittle/runner.go
@@ -15,8 +15,10 @@
 	figureTTL = 2 * time.Second
 	// spareShare is the share of a runner's slots that is kept free for requests that weren't foreseen, urgentShare the share that only
 	// urgent requests take besides.
-	spareShare  = 1.0 / 12
-	urgentShare = 1.0 / 12
+	spareShare  = 1.0 / 8
+	urgentShare = 1.0 / 16
+	// shortQueueDivisor is the slots of a runner for each request that waits there only until its next step.
+	shortQueueDivisor = 16
 	// reserveDivisor is the slots of a runner for each place that is not used after a rejection, and reserveTime how long it is not.
 	reserveDivisor = 12
 	reserveTime    = 6 * time.Second
@@ -25,8 +27,8 @@
 // runner is what is known of a runner of a service whose runners state a limit.
 type runner struct {
 	stated statement
-	// reported is the number of requests of all VMs by the runner's newest report. If requests waited there, processed is the number
-	// that it worked on, else 0.
+	// reported is the number of requests of all VMs by the runner's newest report. If it had no room then, processed is the number of
+	// requests that it worked on, else 0.
 	reported   int
 	processed  int
 	reportedAt time.Time
@@ -43,9 +45,9 @@
 }
 
 // report records how many requests the runner works on and how many wait.
-func (r *runner) report(running, waiting int, now time.Time) {
+func (r *runner) report(running, waiting, slots int, now time.Time) {
 	r.reported, r.processed, r.reportedAt = running+waiting, 0, now
-	if waiting > 0 {
+	if waiting*shortQueueDivisor > slots || r.rejectedAt.Equal(now) {
 		r.processed = running
 	}
 }
--- a/internal/dispatch/replay_brittle_test.go
+++ b/internal/dispatch/replay_brittle_test.go
@@ -20,6 +20,10 @@
 	downFor              time.Duration
 	// unlinked is the share of VMs that neither report their requests to the others nor get the totals.
 	unlinked float64
+	// assumedVMs is how many VMs each of them takes for granted, 0 if it knows their number.
+	assumedVMs int
+	// skew is how many times as many requests the first VM gets as the others.
+	skew int
 }
 
 // brittleRunner is what a runner counts in a brittle time.
@@ -53,6 +57,22 @@
 	return r.brittle == nil || vm >= int(r.brittle.unlinked*float64(r.vms))
 }
 
+// assumedVMs returns how many VMs there are as far as they know.
+func (r *replay) assumedVMs() int {
+	if r.brittle != nil && r.brittle.assumedVMs > 0 {
+		return r.brittle.assumedVMs
+	}
+	return r.vms
+}
+
+// drawVM draws the VM that gets a request.
+func (r *replay) drawVM() int {
+	if r.brittle == nil || r.brittle.skew == 0 {
+		return r.random.IntN(r.vms)
+	}
+	return max(r.random.IntN(r.vms+r.brittle.skew-1)-r.brittle.skew+1, 0)
+}
+
 // reject turns a request away, and ends the runner if it did so too often.
 func (r *replay) reject(request *replayRequest) {
 	r.result.rejected++
@@ -153,6 +173,12 @@
 			p.domains, p.runnersPerDomain, p.slots, p.queue, p.serviceTime = 3, 1, 6, 6, 60*time.Millisecond
 			p.brittle.queue = 1
 		},
+		"some unlinked, number of VMs unknown": func(p *replayPattern) { p.brittle.unlinked, p.brittle.assumedVMs = 0.4, 4 },
+		"one VM with most requests":            func(p *replayPattern) { p.brittle.skew = 10 },
+		"fewer processed than slots":           func(p *replayPattern) { p.registered = 36 },
+		"urgent requests, fewer processed than slots": func(p *replayPattern) {
+			p.registered, p.sendAll = 36, true
+		},
 		"many slots":  func(p *replayPattern) { p.slots, p.queue = 64, 64 },
 		"large fleet": func(p *replayPattern) { p.vms, p.slots, p.queue, p.totalsInterval = 90, 64, 64, 400*time.Millisecond },
 	} {
--- a/internal/dispatch/replay_pattern_test.go
+++ b/internal/dispatch/replay_pattern_test.go
@@ -11,8 +11,10 @@
 	domains          int
 	runnersPerDomain int
 	slots            int
-	queue            int
-	serviceTime      time.Duration
+	// registered is how many slots the runners claim to have, 0 if slots.
+	registered  int
+	queue       int
+	serviceTime time.Duration
 	// load is the share of all slots that the arrivals need.
 	load float64
 	// surge is the factor by which more requests arrive between surgeFrom and surgeTo.
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -95,7 +95,7 @@
 				ID:            runner.id,
 				Service:       "s",
 				FailureDomain: fmt.Sprintf("d%d", d),
-				Slots:         pattern.slots,
+				Slots:         max(pattern.slots, pattern.registered),
 				Models:        []roster.LoadedModel{{Model: "m"}},
 			}}}, start)
 		}
@@ -113,7 +113,7 @@
 			service: "s",
 			model:   "m",
 			limit:   r.objective,
-			vms:     r.vms,
+			vms:     r.assumedVMs(),
 			urgent:  r.sendAll,
 			tried:   request.tried,
 		}, start.Add(r.now))
@@ -191,7 +191,7 @@
 
 // serve handles an attempt of a caller at a random VM.
 func (r *replay) serve(request *replayRequest) {
-	request.vm = r.random.IntN(r.vms)
+	request.vm = r.drawVM()
 	request.sent = r.now
 	r.attempts++
 	r.send(request)
--- a/internal/dispatch/tracker.go
+++ b/internal/dispatch/tracker.go
@@ -172,7 +172,7 @@
 	defer t.mu.Unlock()
 	t.state(runner.ID).applyReport(report, now)
 	t.figureReported(runner.ID, report.Figure, now)
-	t.brittle.RecordReport(runner.ID, report.Running, report.Waiting, now)
+	t.brittle.RecordReport(runner.ID, report.Running, report.Waiting, runner.Slots, now)
 }
 
 // Occupancy returns this VM's requests at the runners, and records them as announced to the other VMs.
