--- a/internal/brittle/runner.go
+++ b/internal/brittle/runner.go
@@ -17,8 +17,12 @@
 	// urgent requests take besides.
 	spareShare  = 1.0 / 8
 	urgentShare = 1.0 / 16
-	// shortQueueDivisor is the slots of a runner for each request that waits there only until its next step.
-	shortQueueDivisor = 16
+	// minQueue is how many requests wait at a runner that can't begin them; fewer may just await its next step. While it works on less
+	// than a share of its slots, given by minRunningDivisor, others do so too.
+	minQueue          = 2
+	minRunningDivisor = 4
+	// recoverySeconds is the time after which a runner that could use few of its slots is expected to use all.
+	recoverySeconds = 12
 	// reserveDivisor is the slots of a runner for each place that is not used after a rejection, and reserveTime how long it is not.
 	reserveDivisor = 12
 	reserveTime    = 6 * time.Second
@@ -27,12 +31,13 @@
 // runner is what is known of a runner of a service whose runners state a limit.
 type runner struct {
 	stated statement
-	// reported is the number of requests of all VMs by the runner's newest report. If it had no room then, processed is the number of
-	// requests that it worked on, else 0.
+	// reported is the number of requests of all VMs by the runner's newest report.
 	reported   int
-	processed  int
 	reportedAt time.Time
-	own        history
+	// processed is how many requests the runner worked on when others last waited or were rejected, at fullAt.
+	processed int
+	fullAt    time.Time
+	own       history
 	// draw is a random number in [0, 1) that rounds this VM's share of the room, drawnAt when it was drawn.
 	draw    float64
 	drawnAt time.Time
@@ -46,12 +51,21 @@
 
 // report records how many requests the runner works on and how many wait.
 func (r *runner) report(running, waiting, slots int, now time.Time) {
-	r.reported, r.processed, r.reportedAt = running+waiting, 0, now
-	if waiting*shortQueueDivisor > slots || r.rejectedAt.Equal(now) {
-		r.processed = running
+	r.reported, r.reportedAt = running+waiting, now
+	full := waiting >= minQueue && running*minRunningDivisor >= slots
+	if full || r.rejectedAt.Equal(now) || float64(running) > r.processable(slots, now) {
+		r.processed, r.fullAt = running, now
 	}
 }
 
+// processable returns how many requests the runner can work on at once. It may be fewer than it has slots, for want of memory.
+func (r *runner) processable(slots int, now time.Time) float64 {
+	if r.fullAt.IsZero() {
+		return float64(slots)
+	}
+	return min(float64(r.processed)+float64(slots)*now.Sub(r.fullAt).Seconds()/recoverySeconds, float64(slots))
+}
+
 // reserve returns how many places are left free because of rejections.
 func (r *runner) reserve(slots int, now time.Time) float64 {
 	return max(r.reserved-reserveStep(slots)*float64(now.Sub(r.rejectedAt))/float64(reserveTime), 0)
@@ -108,16 +122,11 @@
 // round rounds a share up or down, in proportion to its fraction, so that the shares of all VMs add up to the whole.
 func (r *runner) round(share float64) int { return int(share + r.draw) }
 
-// places returns how many requests the runner takes. Requests that wait although slots are free wait for something else that the runner
-// lacks.
+// places returns how many requests the runner takes.
 func (r *runner) places(q Query, now time.Time) float64 {
-	places := float64(q.Slots)
-	if r.processed > 0 && now.Sub(r.reportedAt) < figureTTL {
-		places = min(places, float64(r.processed))
-	}
 	kept := spareShare
 	if !q.Urgent {
 		kept += urgentShare
 	}
-	return places*(1-kept) - r.reserve(q.Slots, now)
+	return r.processable(q.Slots, now)*(1-kept) - r.reserve(q.Slots, now)
 }
