--- a/internal/brittle/board.go
+++ b/internal/brittle/board.go
@@ -35,7 +35,6 @@
 type Answer struct {
 	Service string
 	Runner  string
-	Slots   int
 	// Tolerance is how many requests the runner can reject within a second, or 0 if it states no limit.
 	Tolerance int
 	// Rejected is set if the runner had no room for the request.
@@ -57,14 +56,17 @@
 	if _, limited := b.services[a.Service]; !limited {
 		return
 	}
-	r := b.runner(a.Runner)
+	r := b.runner(a.Service, a.Runner)
 	if s.tolerance == 0 {
-		*r = runner{stated: s}
+		*r = runner{
+			service: a.Service,
+			stated:  s,
+		}
 		return
 	}
 	r.stated = s
 	if a.Rejected {
-		r.reject(a.Own, a.Slots, now.Add(pause(s.tolerance, a.VMs, random())), now)
+		r.reject(a.Own, now.Add(pause(s.tolerance, a.VMs, random())), now)
 	}
 }
 
@@ -84,10 +86,10 @@
 }
 
 // runner returns what is known of a runner.
-func (b *Board) runner(id string) *runner {
+func (b *Board) runner(service, id string) *runner {
 	r, ok := b.runners[id]
 	if !ok {
-		r = &runner{}
+		r = &runner{service: service}
 		b.runners[id] = r
 	}
 	return r
@@ -139,7 +141,7 @@
 	if b.tolerance(q.Service, q.Runner, now) == 0 {
 		return true, 0
 	}
-	r := b.runner(q.Runner)
+	r := b.runner(q.Service, q.Runner)
 	r.own.record(q.Own, now)
 	r.redraw(random, now)
 	if now.Before(r.pausedUntil) && q.Own >= r.taken {
--- a/internal/brittle/runner.go
+++ b/internal/brittle/runner.go
@@ -17,20 +17,24 @@
 	// urgent requests take besides.
 	spareShare  = 1.0 / 8
 	urgentShare = 1.0 / 16
-	// minQueue is how many requests wait at a runner that can't begin them; fewer may just await its next step. While it works on less
-	// than a share of its slots, given by minRunningDivisor, others do so too.
-	minQueue          = 2
-	minRunningDivisor = 4
+	// minQueue and queueDivisor give how many requests wait at a runner that can't begin them; fewer may just await its next step.
+	minQueue     = 2
+	queueDivisor = 8
 	// recoverySeconds is the time after which a runner that could use few of its slots is expected to use all.
-	recoverySeconds = 12
-	// reserveDivisor is the slots of a runner for each place that is not used after a rejection, and reserveTime how long it is not.
-	reserveDivisor = 12
-	reserveTime    = 6 * time.Second
+	recoverySeconds = 30
+	// reserveShare is the share of the slots that is kept free after a rejection, reserveTime the time after which it no longer is, and
+	// maxRejections how many count at most.
+	reserveShare  = 1.0 / 12
+	reserveTime   = 6 * time.Second
+	maxRejections = 5
+	// sameRejection is the time within which rejections count as one.
+	sameRejection = 100 * time.Millisecond
 )
 
 // runner is what is known of a runner of a service whose runners state a limit.
 type runner struct {
-	stated statement
+	service string
+	stated  statement
 	// reported is the number of requests of all VMs by the runner's newest report.
 	reported   int
 	reportedAt time.Time
@@ -44,20 +48,33 @@
 	// pausedUntil is the end of the time after a rejection in which this VM has no more than taken requests at the runner.
 	pausedUntil time.Time
 	taken       int
-	// rejectedAt is when the runner last rejected a request of this VM; reserved is the number of places that were left free then.
-	rejectedAt time.Time
-	reserved   float64
+	// rejectedAt is when the runner last rejected a request of any VM, rejectedHere is set if it was one of this VM, and processedThen is
+	// how many requests the runner worked on, or 0. rejections weighs the recent ones.
+	rejectedAt    time.Time
+	rejectedHere  bool
+	processedThen int
+	rejections    float64
 }
 
 // report records how many requests the runner works on and how many wait.
 func (r *runner) report(running, waiting, slots int, now time.Time) {
 	r.reported, r.reportedAt = running+waiting, now
-	full := waiting >= minQueue && running*minRunningDivisor >= slots
-	if full || r.rejectedAt.Equal(now) || float64(running) > r.processable(slots, now) {
+	if r.rejectedHere && r.rejectedAt.Equal(now) {
+		r.recordProcessed(running, now)
+		return
+	}
+	if waiting >= max(minQueue, slots/queueDivisor) || float64(running) > r.processable(slots, now) {
 		r.processed, r.fullAt = running, now
 	}
 }
 
+// recordProcessed records how many requests the runner worked on when it rejected one.
+func (r *runner) recordProcessed(running int, at time.Time) {
+	if r.processedThen = max(running, 0); running > 0 {
+		r.processed, r.fullAt = running, at
+	}
+}
+
 // processable returns how many requests the runner can work on at once. It may be fewer than it has slots, for want of memory.
 func (r *runner) processable(slots int, now time.Time) float64 {
 	if r.fullAt.IsZero() {
@@ -66,21 +83,25 @@
 	return min(float64(r.processed)+float64(slots)*now.Sub(r.fullAt).Seconds()/recoverySeconds, float64(slots))
 }
 
-// reserve returns how many places are left free because of rejections.
-func (r *runner) reserve(slots int, now time.Time) float64 {
-	return max(r.reserved-reserveStep(slots)*float64(now.Sub(r.rejectedAt))/float64(reserveTime), 0)
+// recentRejections returns the weight of recent rejections; each counts less with time.
+func (r *runner) recentRejections(now time.Time) float64 {
+	return max(r.rejections-float64(now.Sub(r.rejectedAt))/float64(reserveTime), 0)
 }
 
-// reserveStep is how many more places are left free after a rejection.
-func reserveStep(slots int) float64 { return max(float64(slots)/reserveDivisor, 1) }
-
-// reject records a rejection, after which the VM takes no further room until a time. The runner has taken the given number of requests
-// of this VM.
-func (r *runner) reject(taken, slots int, until, now time.Time) {
-	if now.Sub(r.rejectedAt) > reportLag {
-		r.reserved = min(r.reserve(slots, now)+reserveStep(slots), float64(slots)/2)
+// reserveMore records a rejection. Those that follow one within sameRejection are of requests that had been sent before it was known.
+func (r *runner) reserveMore(at time.Time) {
+	if at.Sub(r.rejectedAt) > sameRejection {
+		r.rejections = min(r.recentRejections(at)+1, maxRejections)
 	}
-	r.rejectedAt, r.pausedUntil, r.taken = now, until, max(taken, 0)
+	r.rejectedAt, r.processedThen = at, 0
+}
+
+// reject records a rejection of a request of this VM, after which it takes no further room until a time. The runner has taken the given
+// number of this VM's requests.
+func (r *runner) reject(taken int, until, now time.Time) {
+	r.reserveMore(now)
+	r.rejectedHere = true
+	r.pausedUntil, r.taken = until, max(taken, 0)
 }
 
 // limit returns how many requests this VM may have at the runner. All VMs together have no more than the runner takes if each adds its
@@ -128,5 +149,6 @@
 	if !q.Urgent {
 		kept += urgentShare
 	}
-	return r.processable(q.Slots, now)*(1-kept) - r.reserve(q.Slots, now)
+	kept += reserveShare * r.recentRejections(now)
+	return r.processable(q.Slots, now) * (1 - kept)
 }
--- a/internal/dispatch/brittle.go
+++ b/internal/dispatch/brittle.go
@@ -31,9 +31,8 @@
 	t.brittle.RecordAnswer(brittle.Answer{
 		Service:   runner.Service,
 		Runner:    runner.ID,
-		Slots:     runner.Slots,
 		Tolerance: response.Brittle,
-		Rejected:  response.NotRun && response.Status == http.StatusServiceUnavailable,
+		Rejected:  response.NotRun && !response.Leaving && response.Status == http.StatusServiceUnavailable,
 		Own:       t.state(runner.ID).ownRequests - 1,
 		VMs:       t.vms,
 	}, t.random, now)
--- a/internal/dispatch/replay_brittle_test.go
+++ b/internal/dispatch/replay_brittle_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowsliparch/cowsliparch/internal/brittle"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
 
@@ -65,6 +66,18 @@
 	return r.vms
 }
 
+// statements returns what the lease holder, the last VM, knows of the runners after the reports of the others.
+func (r *replay) statements() brittle.Statements {
+	now := start.Add(r.now)
+	holder := r.trackers[len(r.trackers)-1]
+	for vm, tracker := range r.trackers {
+		if r.linked(vm) {
+			holder.ApplyBrittleness(tracker.BrittlenessReceived(now), now)
+		}
+	}
+	return holder.Brittleness(now)
+}
+
 // drawVM draws the VM that gets a request.
 func (r *replay) drawVM() int {
 	if r.brittle == nil || r.brittle.skew == 0 {
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -308,6 +308,7 @@
 			totals.Add(tracker.Occupancy())
 		}
 	}
+	statements := r.statements()
 	perSecond := float64(r.attempts) / r.totalsInterval.Seconds()
 	r.attempts = 0
 	r.at(r.now+r.totalsDelay, func() {
@@ -316,6 +317,7 @@
 				continue
 			}
 			tracker.ApplyOccupancy(totals, start.Add(r.now))
+			tracker.ApplyBrittleness(statements, start.Add(r.now))
 			tracker.ApplyRequestRate("s", "m", perSecond, start.Add(r.now))
 		}
 	})
