--- a/internal/dispatch/replay_brittle_test.go
+++ b/internal/dispatch/replay_brittle_test.go
@@ -90,6 +90,11 @@
 func (r *replay) reject(request *replayRequest) {
 	r.result.rejected++
 	runner, tolerance := request.runner, r.tolerance()
+	load := ReportedLoad{
+		Running: runner.running,
+		Waiting: len(runner.waiting),
+		Slots:   r.slots,
+	}
 	if b := r.brittle; b != nil && r.now >= b.from && r.now < b.to {
 		runner.rejections = slices.DeleteFunc(runner.rejections, func(at time.Duration) bool { return r.now-at >= time.Second })
 		if runner.rejections = append(runner.rejections, r.now); len(runner.rejections) > b.tolerance {
@@ -106,6 +111,7 @@
 		Status:  http.StatusServiceUnavailable,
 		NotRun:  true,
 		Brittle: tolerance,
+		Load:    &load,
 	})
 }
 
@@ -127,6 +133,7 @@
 		registered, _ := r.view.Runner(runner.id)
 		if response != nil {
 			tracker.responseReceived(registered, response, now)
+			tracker.loadReported(registered, *response.Load, now)
 		}
 		tracker.recordResult(registered, false, now)
 		tracker.requestEnded(roster.ModelUse{Runner: runner.id, Model: "m"})
