brittle: count rejections that follow each other closely

Rejections less than 100 ms apart counted as one for as long as they went on, so VMs left no more slots free. TestLastingRejectionsReserveMore failed before.

--- a/internal/brittle/board_test.go
+++ b/internal/brittle/board_test.go
@@ -153,3 +153,22 @@
 	b.Apply(brittle.Statements{"s": {Tolerance: 3, Rejections: map[string]brittle.Rejection{"r1": {Processed: -5, Age: -time.Hour}}}}, now.Add(time.Second))
 	require.False(t, hasRoom(b, query(0, 24, now), now.Add(time.Second)))
 }
+
+// Rejections that go on must make VMs leave ever more slots free, also if they follow each other closely.
+func TestLastingRejectionsReserveMore(t *testing.T) {
+	b := stated(100)
+	others := func(now time.Time) int {
+		n := 0
+		for hasRoom(b, query(0, n, now), now) && n < 24 {
+			n++
+		}
+		return n
+	}
+	before := others(start)
+	now := start
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		b.RecordAnswer(brittle.Answer{Service: "s", Runner: "r1", Tolerance: 100, Rejected: true, Own: 8, VMs: 4}, always, now)
+	}
+	require.Less(t, others(now), before-5)
+}
--- a/internal/brittle/runner.go
+++ b/internal/brittle/runner.go
@@ -49,11 +49,12 @@
 	pausedUntil time.Time
 	taken       int
 	// rejectedAt is when the runner last rejected a request of any VM, rejectedHere is set if it was one of this VM, and processedThen is
-	// how many requests the runner worked on, or 0. rejections weighs the recent ones.
+	// how many requests the runner worked on, or 0. rejections weighs the recent ones, the last of which was counted at countedAt.
 	rejectedAt    time.Time
 	rejectedHere  bool
 	processedThen int
 	rejections    float64
+	countedAt     time.Time
 }
 
 // report records how many requests the runner works on and how many wait.
@@ -85,13 +86,13 @@
 
 // recentRejections returns the weight of recent rejections; each counts less with time.
 func (r *runner) recentRejections(now time.Time) float64 {
-	return max(r.rejections-float64(now.Sub(r.rejectedAt))/float64(reserveTime), 0)
+	return max(r.rejections-float64(now.Sub(r.countedAt))/float64(reserveTime), 0)
 }
 
 // reserveMore records a rejection. Those that follow one within sameRejection are of requests that had been sent before it was known.
 func (r *runner) reserveMore(at time.Time) {
-	if at.Sub(r.rejectedAt) > sameRejection {
-		r.rejections = min(r.recentRejections(at)+1, maxRejections)
+	if at.Sub(r.countedAt) > sameRejection {
+		r.rejections, r.countedAt = min(r.recentRejections(at)+1, maxRejections), at
 	}
 	r.rejectedAt, r.processedThen = at, 0
 }
