--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -18,6 +18,7 @@
 type fakeVM struct {
 	fakePaces
 	fakeProxies
+	fakeBrittleness
 	mu               sync.Mutex
 	holdsLease       bool
 	holder           string
