--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -14,7 +14,6 @@
 
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/framelink"
-	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/outbound"
 	"github.com/cowsliparch/cowsliparch/internal/pause"
 	"github.com/cowsliparch/cowsliparch/internal/quarantine"
@@ -49,6 +48,7 @@
 	holderStoreUnavailable bool
 	// linksOpened counts the links opened so far.
 	linksOpened uint64
+	census      censusRequests
 }
 
 // NewSpoke returns a spoke without a link; Run opens one.
@@ -256,39 +256,15 @@
 		s.local.ReceiveQuarantineStatus(*f.Quarantine)
 	case f.Paces != nil:
 		s.local.ReceivePaces(f.Paces)
+	case f.Brittle != nil:
+		s.local.ReceiveBrittleness(f.Brittle)
 	case f.Grant != nil:
 		s.local.ReceiveGrant(f.Grant)
 	case f.Proxies != nil:
 		s.receiveProxies(link, f.Proxies)
+	case f.Starts != nil:
+		s.local.ReceiveStarts(f.Starts)
+	case f.Census != nil:
+		s.receiveCensus(f.Census)
 	}
 }
-
-func (s *Spoke) handleHeartbeat(link *framelink.Link[frame], beat *heartbeat) {
-	if beat.ResignedFence > 0 {
-		s.local.HolderResigned(beat.ResignedFence)
-	}
-	if !beat.HoldsLease {
-		if _, known := s.local.HolderAddress(); known {
-			// The heartbeats of a VM without the lease count only while no lease holder is known.
-			return
-		}
-	}
-	s.mu.Lock()
-	s.lastHeartbeat = s.clock.Now()
-	s.holderStoreUnavailable = beat.StoreUnavailable
-	if beat.HoldsLease && beat.Members != nil {
-		s.members = beat.Members
-	}
-	if beat.HoldsLease {
-		// Holders of an older release only list the members.
-		s.memberCount = max(beat.MemberCount, len(s.members))
-	}
-	s.mu.Unlock()
-	if beat.HoldsLease {
-		s.local.HolderHeartbeat(logservice.Position{
-			Era:    beat.LeaseEra,
-			Offset: beat.LeaseOffset,
-		}, beat.Fence)
-	}
-	requestNewerConfiguration(link, s.local, beat.Version)
-}
