outbound: only connections from before a response confirm its end

Callers saw: streams that ended as complete before their last event when their runner was killed and another one started at its address.

Cause: if the runner refused the connection, any connection to its address that was established 50 ms later confirmed the end; by then, the next process may listen there.

Change: only connections count that were open when the response began.

--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -35,12 +37,10 @@
 // Unwrap returns the cause.
 func (e *UnconfirmedEndError) Unwrap() error { return e.Cause }
 
-// confirmEnd fails with UnconfirmedEndError unless the endpoint still runs whose connection ended. That it accepts connections does not
-// show that: the kernel does so for a short time after the process was killed.
-func (p *Pool) confirmEnd(ctx context.Context, ended *conn, target Target) error {
-	if target.Check == nil {
-		return nil
-	}
+// confirmEnd fails with UnconfirmedEndError unless the endpoint still runs whose connection ended, as far as it answers target.Check or
+// holds one of the connections open that were before the response. That it accepts connections does not show that: the kernel does so for a
+// short time after the process was killed, and another process may have followed.
+func (p *Pool) confirmEnd(ctx context.Context, ended *conn, target Target, before []*conn) error {
 	// The end leaves room for another connection within the endpoint's limit.
 	ended.close()
 	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, checkTimeout)
@@ -52,7 +52,7 @@
 	// An endpoint that is about to stop accepts no connections while it completes its responses.
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		p.clock.Sleep(settleTime)
-		if p.anyEstablished(target.Address) {
+		if slices.ContainsFunc(before, (*conn).established) {
 			return nil
 		}
 	}
@@ -67,20 +67,16 @@
 	}
 }
 
-// anyEstablished reports whether the endpoint holds a connection open.
-func (p *Pool) anyEstablished(address string) bool {
+// connsTo returns the connections to an address.
+func (p *Pool) connsTo(address string) []*conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h, ok := p.hosts[address]
-	if !ok {
-		return false
-	}
-	for c := range h.conns {
-		if c.tcpState() == unix.BPF_TCP_ESTABLISHED {
-			return true
-		}
-	}
-	return false
+	return slices.Collect(maps.Keys(p.host(address).conns))
+}
+
+// established reports whether the endpoint holds the connection open.
+func (c *conn) established() bool {
+	return !c.closed.Load() && c.tcpState() == unix.BPF_TCP_ESTABLISHED
 }
 
 // tcpState returns the state of the connection, or -1 if it is unknown.
--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -24,14 +24,14 @@
 	response *http.Response
 	// stopWatch keeps the connection open when the request's context ends; it returns false if that has already ended.
 	stopWatch func() bool
-	// confirm tells whether the endpoint still runs after the connection has ended.
+	// confirm tells whether the endpoint still runs after the connection has ended; nil if that need not or can't be known.
 	confirm func() error
 	once    sync.Once
 	// complete is set once the whole body was read.
 	complete atomic.Bool
 }
 
-func newResponse(p *Pool, address string, c *conn, response *http.Response, stopWatch func() bool, confirm func() error) *Response {
+func newResponse(p *Pool, address string, c *conn, response *http.Response, stopWatch func() bool) *Response {
 	return &Response{
 		Status:    response.StatusCode,
 		Header:    response.Header,
@@ -41,7 +41,6 @@
 		conn:      c,
 		response:  response,
 		stopWatch: stopWatch,
-		confirm:   confirm,
 	}
 }
 
@@ -56,8 +55,10 @@
 		if reset := r.conn.resetError(); reset != nil {
 			return n, reset
 		}
-		if err := r.confirm(); err != nil {
-			return n, err
+		if r.confirm != nil {
+			if err := r.confirm(); err != nil {
+				return n, err
+			}
 		}
 	}
 	r.complete.Store(true)
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -70,8 +70,12 @@
 		c.close()
 		return nil, noResponseError(target, err)
 	}
-	confirm := sync.OnceValue(func() error { return p.confirmEnd(ctx, c, target) })
-	return newResponse(p, target.Address, c, response, stopWatch, confirm), nil
+	r := newResponse(p, target.Address, c, response, stopWatch)
+	if r.CloseDelimited() && target.Check != nil {
+		before := p.connsTo(target.Address)
+		r.confirm = sync.OnceValue(func() error { return p.confirmEnd(ctx, c, target, before) })
+	}
+	return r, nil
 }
 
 func noResponseError(target Target, err error) error {
