--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -43,6 +43,7 @@
 	sessions map[*session]bool
 	// membersVersion counts the changes of the membership.
 	membersVersion int
+	keepers        keepers
 	// heldSince is when this VM was first seen to hold the lease, zero while it does not.
 	heldSince time.Time
 }
@@ -99,7 +100,7 @@
 		if err != nil {
 			return
 		}
-		h.handle(s, f)
+		h.handle(ctx, s, f)
 	}
 }
 
@@ -148,7 +149,7 @@
 	}
 }
 
-func (h *Hub) handle(s *session, f frame) {
+func (h *Hub) handle(ctx context.Context, s *session, f frame) {
 	h.mu.Lock()
 	s.lastReceived = h.clock.Now()
 	h.mu.Unlock()
@@ -164,6 +165,11 @@
 		h.local.ReceiveEvidence(*f.Evidence)
 	case f.Origins != nil:
 		h.local.ReceiveOrigins(f.Origins)
+	case f.Starts != nil:
+		h.local.ReceiveStarts(f.Starts)
+		h.sendStarts(s, f.Starts)
+	case f.CensusRequest > 0:
+		go h.replyCensus(ctx, s, f.CensusRequest)
 	case f.MissingModel != nil:
 		h.local.ReceiveMissingModel(f.MissingModel.Service, f.MissingModel.Model, f.MissingModel.Adapter)
 	case f.Request != nil:
@@ -178,6 +184,7 @@
 			h.local.ReceiveQuotaReport(vm, f.Usage.Quota)
 		}
 		h.recordPaces(f.Usage)
+		h.recordBrittleness(f.Usage)
 		h.recordReach(s, f.Usage)
 		requestNewerConfiguration(s.link, h.local, f.Usage.Version)
 	case receiveConfiguration(h.local, f):
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -49,6 +49,7 @@
 	holderStoreUnavailable bool
 	// linksOpened counts the links opened so far.
 	linksOpened uint64
+	census      censusRequests
 }
 
 // NewSpoke returns a spoke without a link; Run opens one.
@@ -256,10 +257,16 @@
 		s.local.ReceiveQuarantineStatus(*f.Quarantine)
 	case f.Paces != nil:
 		s.local.ReceivePaces(f.Paces)
+	case f.Brittle != nil:
+		s.local.ReceiveBrittleness(f.Brittle)
 	case f.Grant != nil:
 		s.local.ReceiveGrant(f.Grant)
 	case f.Proxies != nil:
 		s.receiveProxies(link, f.Proxies)
+	case f.Starts != nil:
+		s.local.ReceiveStarts(f.Starts)
+	case f.Census != nil:
+		s.receiveCensus(f.Census)
 	}
 }
 
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/cowsliparch/cowsliparch/internal/boottime"
 	"github.com/cowsliparch/cowsliparch/internal/event"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/pause"
@@ -58,40 +59,55 @@
 type Peers interface {
 	// HoldsLease reports whether this VM appends for all VMs.
 	HoldsLease() bool
+	// SendStarts has other VMs keep streams that began while their service had a single release, if there are links.
+	SendStarts(batches []Batch)
 	// SendOrigins reports streams over the present link to the lease holder, and returns false if there is none.
 	SendOrigins(batches []Batch) bool
 	// Links returns the number of links to lease holders that were opened so far.
 	Links() uint64
 	// Informed reports whether this VM learns of new runners, from the store or from another VM.
 	Informed() bool
+	// Census returns a census that the VM to which this one is linked takes after the call, and false if there is none in time.
+	Census(ctx context.Context) (Census, bool)
 	// VMs returns the number of VMs.
 	VMs() int
 }
 
 // Dependencies holds what a tracker uses.
 type Dependencies struct {
-	Log    Log
-	Peers  Peers
-	Roster func() *roster.View
-	Clock  clockwork.Clock
-	Logger *slog.Logger
+	Log           Log
+	Registrations Registrations
+	Peers         Peers
+	Roster        func() *roster.View
+	Clock         clockwork.Clock
+	// BootClock shows for how long this VM stood still.
+	BootClock boottime.Clock
+	Logger    *slog.Logger
 }
 
 // Tracker remembers which release began a stream; it is safe for concurrent use.
 type Tracker struct {
 	Dependencies
-	startedAt time.Time
-	mixes     mixes
-	// own has the streams that began here, others those read from the log.
+	mixes mixes
+	// own has the streams that began here, kept those of other VMs that began while their service had a single release, others those read
+	// from the log.
 	own    *index
+	kept   *index
 	others *index
 	// reads lets requests that look for streams share a read of the log.
 	reads singleflight.Group
+	// counts and censuses let them, and other VMs, share a look at the releases that began after they asked.
+	counts   fresh[Census]
+	censuses fresh[Census]
 	// appends waits for the appends under way, of which there are appending.
 	appends   sync.WaitGroup
 	appending atomic.Int32
 
 	mu sync.Mutex
+	// starts are the streams of services of a single release that are to be reported, and startsLink is the number of the link to which
+	// earlier ones were.
+	starts     pending
+	startsLink uint64
 	// outgoing are the streams to be reported, reported those that were within confirmTime, over the link with number link, and
 	// received those that other VMs reported and the log lacks.
 	outgoing   pending
@@ -106,35 +122,37 @@
 	readToEnd time.Time
 	// loggedAt is the time of the newest batch of each service in the log.
 	loggedAt map[string]time.Time
+	// observedAt is when the releases were looked at last, as time since boot, and observedSince since when no change of them can have
+	// been missed.
+	observedAt    time.Duration
+	observedSince time.Time
 }
 
 // New returns a tracker; Run reports streams.
 func New(d Dependencies) *Tracker {
-	return &Tracker{
-		Dependencies: d,
-		startedAt:    d.Clock.Now(),
-		mixes:        mixes{services: make(map[string]*mix)},
-		own:          newIndex(memory / 2),
-		others:       newIndex(memory / 2),
-		outgoing:     make(pending),
-		loggedAt:     make(map[string]time.Time),
+	t := &Tracker{
+		Dependencies:  d,
+		mixes:         mixes{services: make(map[string]*mix)},
+		own:           newIndex(memory / 2),
+		kept:          newIndex(memory / 2),
+		others:        newIndex(memory / 2),
+		starts:        make(pending),
+		outgoing:      make(pending),
+		loggedAt:      make(map[string]time.Time),
+		observedAt:    d.BootClock.Elapsed(),
+		observedSince: d.Clock.Now(),
 	}
-}
-
-// RecordStart records that a runner sends the first event of a stream to its caller.
-func (t *Tracker) RecordStart(requestID string, runner *roster.Runner) {
-	now := t.Clock.Now()
-	b := begun{
-		service: runner.Service,
-		release: runner.Release,
+	t.counts = fresh[Census]{
+		clock:    d.Clock,
+		fetch:    t.count,
+		interval: t.countInterval,
 	}
-	k := keyOf(requestID)
-	t.own.add(k, b, now)
-	if t.mixes.mixedWithin(runner.Service, memory, now) {
-		t.mu.Lock()
-		t.outgoing.add(b, k)
-		t.mu.Unlock()
+	t.censuses = fresh[Census]{
+		clock:    d.Clock,
+		fetch:    t.takeCensus,
+		interval: func() time.Duration { return minCensusInterval },
 	}
+	return t
 }
 
 // Receive handles the report of another VM, which this VM is to append to the log.
@@ -149,9 +167,10 @@
 	finalCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	// Callers may take up streams as soon as this VM is ready.
-	t.reads.DoChan("", func() (any, error) { return nil, t.read(finalCtx) })
+	t.reads.DoChan("", func() (any, error) { return nil, t.readPage(finalCtx, 0) })
 	for ctx.Err() == nil {
 		t.observe()
+		t.reportStarts()
 		t.report(finalCtx)
 		pause.For(ctx, t.Clock, t.interval())
 	}
@@ -176,15 +195,13 @@
 
 // observe looks for services that have begun to have several releases, and has the streams that began before reported.
 func (t *Tracker) observe() {
-	for _, service := range t.mixes.observe(t.Roster(), t.Clock.Now()) {
+	now := t.Clock.Now()
+	t.noteObservation(now)
+	for _, service := range t.mixes.observe(t.Roster(), now) {
 		event.ReleasesMixed.Log(t.Logger, slog.String("Service", service))
 		t.mu.Lock()
-		for release, keys := range t.own.all(service) {
-			t.outgoing.add(begun{
-				service: service,
-				release: release,
-			}, keys...)
-		}
+		t.own.collect(service, t.outgoing)
+		t.kept.collect(service, t.outgoing)
 		t.mu.Unlock()
 	}
 }
