cluster, proxy: let VMs that stop take other VMs' requests for lack of others

Cause: a VM refused other VMs' requests from its SIGTERM on, although it takes its own callers' for 2.9 s more and finishes both.

Change: it takes other VMs' requests as long as its own callers', and is listed for that only if no other VM reaches the runners.

TestStoppingVMsAreListedForLackOfOthers needs the change.

--- a/internal/cluster/proxies.go
+++ b/internal/cluster/proxies.go
@@ -23,6 +23,8 @@
 	CutOff() bool
 	// Stopping reports whether a graceful stop has begun.
 	Stopping() bool
+	// AdmissionEnded reports whether a graceful stop has come so far that no further request is taken.
+	AdmissionEnded() bool
 	// Region returns the region of a failure domain.
 	Region(failureDomain string) string
 	// ReceiveProxies handles the lease holder's list, which may be empty, of VMs through which this one may send requests.
@@ -36,14 +38,18 @@
 
 // reachReport is what a VM last reported of its connections to the runners.
 type reachReport struct {
-	at       time.Time
-	cutOff   bool
-	stopping bool
+	at             time.Time
+	cutOff         bool
+	stopping       bool
+	admissionEnded bool
 }
 
 // reaches reports whether the VM reaches the runners and goes on doing so.
-func (r reachReport) reaches(now time.Time) bool {
-	return !r.at.IsZero() && now.Sub(r.at) <= usageTTL && !r.cutOff && !r.stopping
+func (r reachReport) reaches(now time.Time) bool { return r.serves(now) && !r.stopping }
+
+// serves reports whether the VM reaches the runners and takes requests, maybe not for long.
+func (r reachReport) serves(now time.Time) bool {
+	return !r.at.IsZero() && now.Sub(r.at) <= usageTTL && !r.cutOff && !r.admissionEnded
 }
 
 // sentProxies is the list that was last sent on a link.
@@ -57,9 +63,10 @@
 	now := h.clock.Now()
 	h.mu.Lock()
 	s.reach = reachReport{
-		at:       now,
-		cutOff:   report.CutOff,
-		stopping: report.Stopping,
+		at:             now,
+		cutOff:         report.CutOff,
+		stopping:       report.Stopping,
+		admissionEnded: report.AdmissionEnded,
 	}
 	if !report.CutOff {
 		s.sentProxies = sentProxies{}
@@ -144,39 +151,52 @@
 	return append(chosen, others[:maxProxies-len(chosen)]...)
 }
 
-// proxies returns this VM and the linked ones, as far as they take requests of other VMs and reach the runners.
+// proxies returns this VM and the linked ones, as far as they take requests of other VMs and reach the runners. VMs that stop are among them
+// only if there is no other.
 func (h *Hub) proxies() []Member {
 	now := h.clock.Now()
-	selfReaches := h.self.TakesProxied && !h.local.CutOff() && !h.local.Stopping()
+	self := reachReport{
+		at:             now,
+		cutOff:         h.local.CutOff(),
+		stopping:       h.local.Stopping(),
+		admissionEnded: h.local.AdmissionEnded(),
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	distinct := make(map[Member]bool, len(h.sessions)+1)
-	if selfReaches {
-		distinct[h.self] = true
-	}
+	reports := map[Member]reachReport{h.self: self}
 	for s := range h.sessions {
-		if s.member != nil && s.member.TakesProxied && s.reach.reaches(now) {
-			distinct[*s.member] = true
+		if s.member != nil && (s.reach.serves(now) || !reports[*s.member].serves(now)) {
+			reports[*s.member] = s.reach
+		}
+	}
+	var staying, stopping []Member
+	for m, report := range reports {
+		switch {
+		case !m.TakesProxied:
+		case report.reaches(now):
+			staying = append(staying, m)
+		case report.serves(now):
+			stopping = append(stopping, m)
 		}
 	}
-	members := make([]Member, 0, len(distinct))
-	for m := range distinct {
-		members = append(members, m)
+	if len(staying) > 0 {
+		return staying
 	}
-	return members
+	return stopping
 }
 
 // newUsageReport returns this VM's report to the lease holder. An empty report is sent too, because a VM without a report can't be taken
 // to be idle.
 func (s *Spoke) newUsageReport() *usageReport {
 	return &usageReport{
-		Version:   s.local.ConfigurationVersion(),
-		Occupancy: s.local.Occupancy(),
-		Uses:      s.local.ModelsInUse(),
-		Paces:     s.local.TakeSeenPaces(),
-		Quota:     s.local.QuotaReport(),
-		CutOff:    s.local.CutOff(),
-		Stopping:  s.local.Stopping(),
+		Version:        s.local.ConfigurationVersion(),
+		Occupancy:      s.local.Occupancy(),
+		Uses:           s.local.ModelsInUse(),
+		Paces:          s.local.TakeSeenPaces(),
+		Quota:          s.local.QuotaReport(),
+		CutOff:         s.local.CutOff(),
+		Stopping:       s.local.Stopping(),
+		AdmissionEnded: s.local.AdmissionEnded(),
 	}
 }
 
--- a/internal/cluster/proxies_test.go
+++ b/internal/cluster/proxies_test.go
@@ -21,7 +21,9 @@
 	proxiesMu sync.Mutex
 	cutOff    bool
 	stopping  bool
-	lists     [][]cluster.Member
+	// admissionEnded is set once no further request is taken.
+	admissionEnded bool
+	lists          [][]cluster.Member
 }
 
 func (f *fakeProxies) CutOff() bool { f.proxiesMu.Lock(); defer f.proxiesMu.Unlock(); return f.cutOff }
@@ -31,6 +33,12 @@
 	return f.stopping
 }
 
+func (f *fakeProxies) AdmissionEnded() bool {
+	f.proxiesMu.Lock()
+	defer f.proxiesMu.Unlock()
+	return f.admissionEnded
+}
+
 // Region takes what comes before a dash for the region.
 func (f *fakeProxies) Region(failureDomain string) string {
 	region, _, _ := strings.Cut(failureDomain, "-")
@@ -49,6 +57,12 @@
 	f.cutOff, f.stopping = cutOff, stopping
 }
 
+func (f *fakeProxies) endAdmission() {
+	f.proxiesMu.Lock()
+	defer f.proxiesMu.Unlock()
+	f.admissionEnded = true
+}
+
 // received returns the lists received so far.
 func (f *fakeProxies) received() [][]cluster.Member {
 	f.proxiesMu.Lock()
@@ -107,7 +121,7 @@
 	}
 }
 
-// Only VMs that take requests of others, reach the runners and stay may be listed.
+// Only VMs that take requests of others, reach the runners and stay may be listed if there are any.
 func TestCutOffVMLearnsOfVMsThatReachRunners(t *testing.T) {
 	p := newPair(t)
 	p.joinVM(t, proxyMember("sound", "a-1"))
@@ -127,6 +141,22 @@
 	require.Equal(t, []cluster.Member{proxyMember("sound", "a-1")}, p.other.received()[0])
 }
 
+// VMs that stop take requests for a while, and are listed if no other VM reaches the runners.
+func TestStoppingVMsAreListedForLackOfOthers(t *testing.T) {
+	p := newPair(t)
+	stopping := p.joinVM(t, proxyMember("stopping", "a-1"))
+	stopping.setReach(false, true)
+	p.other.setReach(true, false)
+	require.Eventually(t, p.other.listed("stopping"), waitTimeout, pollInterval)
+	require.False(t, p.hub.ReachingVMLinked(), "such a VM is no better lease holder")
+	sound := p.joinVM(t, proxyMember("sound", "a-1"))
+	require.Eventually(t, p.other.listed("sound"), waitTimeout, pollInterval)
+	sound.setReach(true, false)
+	require.Eventually(t, p.other.listed("stopping"), waitTimeout, pollInterval)
+	stopping.endAdmission()
+	require.Eventually(t, p.other.listed(), waitTimeout, pollInterval)
+}
+
 // An empty list says that no VM reaches the runners, which is not the same as no list.
 func TestEmptyListOfProxiesArrives(t *testing.T) {
 	p := newPair(t)
--- a/internal/serving/proxy.go
+++ b/internal/serving/proxy.go
@@ -49,13 +49,13 @@
 		pool:    pool,
 		tracker: dispatch.NewTracker(roundTrips(vm)),
 		handler: proxy.NewHandler(proxy.Options{
-			Serve:       s.serveProxied,
-			BodyLimit:   s.proxiedBodyLimit,
-			Stopping:    s.Stopping,
-			MaxRequests: max(connectionLimit(vm)/proxiedDivisor, 1),
-			MaxBytes:    requestBytes(vm) / proxiedDivisor,
-			Metrics:     metrics,
-			Clock:       s.Clock,
+			Serve:          s.serveProxied,
+			BodyLimit:      s.proxiedBodyLimit,
+			AdmissionEnded: s.AdmissionEnded,
+			MaxRequests:    max(connectionLimit(vm)/proxiedDivisor, 1),
+			MaxBytes:       requestBytes(vm) / proxiedDivisor,
+			Metrics:        metrics,
+			Clock:          s.Clock,
 		}),
 	}
 }
