proxy: go on with a recent list of VMs when the next one is empty

Cause: a lease holder that is new, or is itself cut off, knows only of VMs that are linked to it, and told the others that no VM reaches the runners while one did: the former holder, which stopped and was not linked to it.

Change: a list with VMs counts for 10 s against a later one that is empty. VMs in it that are cut off refuse at once and are passed over.

TestDirectoryUsesNewestSource demanded that an empty list holds from the start; it now demands that it does so once the one before is 10 s old, and that the one before counts until then.

--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -17,6 +17,8 @@
 	listTTL = 30 * time.Second
 	// emptyListTTL is the same for an empty list, which comes again each second as long as it holds.
 	emptyListTTL = 3 * time.Second
+	// formerListTTL is how long a list counts against a later one that is empty.
+	formerListTTL = 10 * time.Second
 	// viewInterval is how long a view is kept.
 	viewInterval = 100 * time.Millisecond
 	// slots is how many requests at once a VM is expected to take from this one.
@@ -42,6 +44,9 @@
 	mu       sync.Mutex
 	listed   []cluster.Member
 	listedAt time.Time
+	// former is the last list with VMs: a new lease holder that knows of none may not be linked to them yet.
+	former   []cluster.Member
+	formerAt time.Time
 	view     *roster.View
 	viewedAt time.Time
 }
@@ -58,7 +63,16 @@
 func (d *Directory) Receive(vms []cluster.Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.listed, d.listedAt, d.view = vms, d.clock.Now(), nil
+	d.setList(vms, d.clock.Now())
+	d.view = nil
+}
+
+// setList keeps a list; the caller holds the lock.
+func (d *Directory) setList(vms []cluster.Member, now time.Time) {
+	d.listed, d.listedAt = vms, now
+	if len(vms) > 0 {
+		d.former, d.formerAt = vms, now
+	}
 }
 
 // VMs returns the VMs that take requests of this one, as endpoints of dispatch.ProxyService.
@@ -77,12 +91,15 @@
 	if d.sources.HoldsLease() {
 		if linked := d.sources.Linked(); len(linked) > 0 {
 			// After it has given up the lease, this VM goes on with them until the next holder sends a list.
-			d.listed, d.listedAt = linked, now
+			d.setList(linked, now)
 			return linked
 		}
 	}
 	ttl := listTTL
 	if len(d.listed) == 0 {
+		if !d.formerAt.IsZero() && now.Sub(d.formerAt) < formerListTTL {
+			return d.former
+		}
 		ttl = emptyListTTL
 	}
 	if !d.listedAt.IsZero() && now.Sub(d.listedAt) < ttl {
--- a/internal/proxy/directory_test.go
+++ b/internal/proxy/directory_test.go
@@ -32,7 +32,8 @@
 	return slices.Sorted(maps.Keys(d.VMs().All()))
 }
 
-// The holder's list goes before the members of its heartbeats, also if it is empty, unless it has become old.
+// The holder's list goes before the members of its heartbeats, unless it has become old. One that is empty does so, too, but not before a
+// recent one that is not.
 func TestDirectoryUsesNewestSource(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	holds := false
@@ -53,6 +54,9 @@
 	require.Positive(t, runner.Slots)
 	require.Len(t, d.VMs().Service(dispatch.ProxyService), 2)
 	d.Receive(nil)
+	require.Equal(t, []string{"q/1", "r/1"}, listedIDs(d), "a new holder may not be linked to them yet")
+	clock.Advance(11 * time.Second)
+	d.Receive(nil)
 	require.Empty(t, listedIDs(d))
 	holds = true
 	clock.Advance(time.Second)
