serving, cluster: let VMs that stop take other VMs' requests for half of their stop timeout

Cause: VMs that stop are listed if no other VM reaches the runners, but took requests only as long as their own callers', 2.9 s; a VM is away for twice as long in a roll-out, and finishes its last requests meanwhile.

Change: they take requests of other VMs for half of the stop timeout, and have the other half for the responses.

--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -72,11 +72,11 @@
 	Paces pacing.Paces `cbor:",omitempty"`
 	// Quota is the demand of the client accounts with a quota; omitted if there are none.
 	Quota *quota.Report `cbor:",omitempty"`
-	// CutOff reports that the sender reaches no runner, Stopping that it is about to stop, AdmissionEnded that it takes no requests any more.
+	// CutOff reports that the sender reaches no runner, Stopping that it is about to stop, ProxyingEnded that it takes no requests of other VMs any more.
 	CutOff   bool `cbor:",omitempty"`
 	Stopping bool `cbor:",omitempty"`
 
-	AdmissionEnded bool `cbor:",omitempty"`
+	ProxyingEnded bool `cbor:",omitempty"`
 }
 
 // missingModel names a model or adapter that a caller requested and no runner holds.
--- a/internal/cluster/proxies.go
+++ b/internal/cluster/proxies.go
@@ -23,8 +23,8 @@
 	CutOff() bool
 	// Stopping reports whether a graceful stop has begun.
 	Stopping() bool
-	// AdmissionEnded reports whether a graceful stop has come so far that no further request is taken.
-	AdmissionEnded() bool
+	// ProxyingEnded reports whether a graceful stop has come so far that no request of another VM is taken.
+	ProxyingEnded() bool
 	// Region returns the region of a failure domain.
 	Region(failureDomain string) string
 	// ReceiveProxies handles the lease holder's list, which may be empty, of VMs through which this one may send requests.
@@ -38,10 +38,10 @@
 
 // reachReport is what a VM last reported of its connections to the runners.
 type reachReport struct {
-	at             time.Time
-	cutOff         bool
-	stopping       bool
-	admissionEnded bool
+	at            time.Time
+	cutOff        bool
+	stopping      bool
+	proxyingEnded bool
 }
 
 // reaches reports whether the VM reaches the runners and goes on doing so.
@@ -49,7 +49,7 @@
 
 // serves reports whether the VM reaches the runners and takes requests, maybe not for long.
 func (r reachReport) serves(now time.Time) bool {
-	return !r.at.IsZero() && now.Sub(r.at) <= usageTTL && !r.cutOff && !r.admissionEnded
+	return !r.at.IsZero() && now.Sub(r.at) <= usageTTL && !r.cutOff && !r.proxyingEnded
 }
 
 // sentProxies is the list that was last sent on a link.
@@ -63,10 +63,10 @@
 	now := h.clock.Now()
 	h.mu.Lock()
 	s.reach = reachReport{
-		at:             now,
-		cutOff:         report.CutOff,
-		stopping:       report.Stopping,
-		admissionEnded: report.AdmissionEnded,
+		at:            now,
+		cutOff:        report.CutOff,
+		stopping:      report.Stopping,
+		proxyingEnded: report.ProxyingEnded,
 	}
 	if !report.CutOff {
 		s.sentProxies = sentProxies{}
@@ -156,10 +156,10 @@
 func (h *Hub) proxies() []Member {
 	now := h.clock.Now()
 	self := reachReport{
-		at:             now,
-		cutOff:         h.local.CutOff(),
-		stopping:       h.local.Stopping(),
-		admissionEnded: h.local.AdmissionEnded(),
+		at:            now,
+		cutOff:        h.local.CutOff(),
+		stopping:      h.local.Stopping(),
+		proxyingEnded: h.local.ProxyingEnded(),
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -189,14 +189,14 @@
 // to be idle.
 func (s *Spoke) newUsageReport() *usageReport {
 	return &usageReport{
-		Version:        s.local.ConfigurationVersion(),
-		Occupancy:      s.local.Occupancy(),
-		Uses:           s.local.ModelsInUse(),
-		Paces:          s.local.TakeSeenPaces(),
-		Quota:          s.local.QuotaReport(),
-		CutOff:         s.local.CutOff(),
-		Stopping:       s.local.Stopping(),
-		AdmissionEnded: s.local.AdmissionEnded(),
+		Version:       s.local.ConfigurationVersion(),
+		Occupancy:     s.local.Occupancy(),
+		Uses:          s.local.ModelsInUse(),
+		Paces:         s.local.TakeSeenPaces(),
+		Quota:         s.local.QuotaReport(),
+		CutOff:        s.local.CutOff(),
+		Stopping:      s.local.Stopping(),
+		ProxyingEnded: s.local.ProxyingEnded(),
 	}
 }
 
--- a/internal/cluster/proxies_test.go
+++ b/internal/cluster/proxies_test.go
@@ -21,9 +21,9 @@
 	proxiesMu sync.Mutex
 	cutOff    bool
 	stopping  bool
-	// admissionEnded is set once no further request is taken.
-	admissionEnded bool
-	lists          [][]cluster.Member
+	// proxyingEnded is set once no further request is taken.
+	proxyingEnded bool
+	lists         [][]cluster.Member
 }
 
 func (f *fakeProxies) CutOff() bool { f.proxiesMu.Lock(); defer f.proxiesMu.Unlock(); return f.cutOff }
@@ -33,10 +33,10 @@
 	return f.stopping
 }
 
-func (f *fakeProxies) AdmissionEnded() bool {
+func (f *fakeProxies) ProxyingEnded() bool {
 	f.proxiesMu.Lock()
 	defer f.proxiesMu.Unlock()
-	return f.admissionEnded
+	return f.proxyingEnded
 }
 
 // Region takes what comes before a dash for the region.
@@ -57,10 +57,10 @@
 	f.cutOff, f.stopping = cutOff, stopping
 }
 
-func (f *fakeProxies) endAdmission() {
+func (f *fakeProxies) endProxying() {
 	f.proxiesMu.Lock()
 	defer f.proxiesMu.Unlock()
-	f.admissionEnded = true
+	f.proxyingEnded = true
 }
 
 // received returns the lists received so far.
@@ -153,7 +153,7 @@
 	require.Eventually(t, p.other.listed("sound"), waitTimeout, pollInterval)
 	sound.setReach(true, false)
 	require.Eventually(t, p.other.listed("stopping"), waitTimeout, pollInterval)
-	stopping.endAdmission()
+	stopping.endProxying()
 	require.Eventually(t, p.other.listed(), waitTimeout, pollInterval)
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -25,8 +25,8 @@
 	Serve func(ctx context.Context, r *dispatch.Request, caller dispatch.Caller)
 	// BodyLimit returns the size limit of request bodies that is in effect.
 	BodyLimit func() int64
-	// AdmissionEnded reports whether a stop of this VM has come so far that no further request is taken.
-	AdmissionEnded func() bool
+	// ProxyingEnded reports whether a stop of this VM has come so far that no further request is taken.
+	ProxyingEnded func() bool
 	// MaxRequests and MaxBytes limit the requests in progress and their bytes.
 	MaxRequests int
 	MaxBytes    int64
@@ -58,7 +58,7 @@
 		controller: http.NewResponseController(w),
 		clock:      h.Clock,
 	}
-	if h.AdmissionEnded() {
+	if h.ProxyingEnded() {
 		w.Header().Set("Connection", "close")
 	}
 	_ = c.controller.SetReadDeadline(h.Clock.Now().Add(bodyTimeout))
@@ -86,7 +86,7 @@
 	switch {
 	case r.Method != http.MethodPost || r.Header.Get("Content-Type") != contentType || r.ContentLength < 0:
 		return refusal.New(http.StatusBadRequest, refusal.BadRequest, "this is no request of an entry VM")
-	case h.AdmissionEnded():
+	case h.ProxyingEnded():
 		return refusal.New(http.StatusServiceUnavailable, refusal.Stopping, "this VM is about to stop")
 	case r.ContentLength > h.BodyLimit()+maxHeadBytes+prefixBytes:
 		return refusal.New(http.StatusRequestEntityTooLarge, refusal.TooLarge, "request exceeds the size limit of this VM")
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -48,12 +48,12 @@
 			h.served.Add(1)
 			serve(ctx, r, caller)
 		},
-		BodyLimit:      func() int64 { return bodyLimit },
-		AdmissionEnded: h.stopping.Load,
-		MaxRequests:    8,
-		MaxBytes:       4 << 20,
-		Metrics:        metrics,
-		Clock:          clockwork.NewRealClock(),
+		BodyLimit:     func() int64 { return bodyLimit },
+		ProxyingEnded: h.stopping.Load,
+		MaxRequests:   8,
+		MaxBytes:      4 << 20,
+		Metrics:       metrics,
+		Clock:         clockwork.NewRealClock(),
 	}
 	for _, option := range options {
 		option(&o)
--- a/internal/serving/proxy.go
+++ b/internal/serving/proxy.go
@@ -14,6 +14,8 @@
 const (
 	// proxiedDivisor is the part of what callers' requests and connections may take that requests of other VMs may take besides.
 	proxiedDivisor = 4
+	// proxyingDivisor is the part of the stop timeout in which requests of other VMs are taken; the rest is for their responses.
+	proxyingDivisor = 2
 	// defaultBodyLimit limits bodies of other VMs' requests if the configuration sets no limit.
 	defaultBodyLimit = 4 << 20
 )
@@ -49,13 +51,13 @@
 		pool:    pool,
 		tracker: dispatch.NewTracker(roundTrips(vm)),
 		handler: proxy.NewHandler(proxy.Options{
-			Serve:          s.serveProxied,
-			BodyLimit:      s.proxiedBodyLimit,
-			AdmissionEnded: s.AdmissionEnded,
-			MaxRequests:    max(connectionLimit(vm)/proxiedDivisor, 1),
-			MaxBytes:       requestBytes(vm) / proxiedDivisor,
-			Metrics:        metrics,
-			Clock:          s.Clock,
+			Serve:         s.serveProxied,
+			BodyLimit:     s.proxiedBodyLimit,
+			ProxyingEnded: s.ProxyingEnded,
+			MaxRequests:   max(connectionLimit(vm)/proxiedDivisor, 1),
+			MaxBytes:      requestBytes(vm) / proxiedDivisor,
+			Metrics:       metrics,
+			Clock:         s.Clock,
 		}),
 	}
 }
@@ -84,6 +86,12 @@
 // CutOff implements cluster.ProxyVM.
 func (s *Server) CutOff() bool { return s.reach.CutOff() }
 
+// ProxyingEnded implements cluster.ProxyVM.
+func (s *Server) ProxyingEnded() bool {
+	endsAt := s.proxyingEndsAt.Load()
+	return endsAt != nil && !s.Clock.Now().Before(*endsAt)
+}
+
 // Region implements cluster.ProxyVM.
 func (s *Server) Region(failureDomain string) string { return s.Settings.VM.Regions[failureDomain] }
 
--- a/internal/serving/server.go
+++ b/internal/serving/server.go
@@ -62,6 +62,8 @@
 	cancelRequests context.CancelCauseFunc
 	// admissionEnded is set during a stop once callers must have turned to other VMs.
 	admissionEnded atomic.Bool
+	// proxyingEndsAt is when a stop has come so far that no further request of another VM is taken, nil before a stop.
+	proxyingEndsAt atomic.Pointer[time.Time]
 	// settings is the newest valid settings; Settings is what the process started with.
 	settings atomic.Pointer[settings.Serving]
 	// incarnation identifies this run of the process.
@@ -278,6 +280,8 @@
 	case <-control.Done():
 	}
 	stopStarted := s.Clock.Now()
+	proxyingEndsAt := stopStarted.Add(max(s.currentSettings().Limits.StopTimeout/proxyingDivisor, admissionDelay))
+	s.proxyingEndsAt.Store(&proxyingEndsAt)
 	s.stopping.Store(true)
 	event.EntryStopping.Log(s.Logger)
 	s.releaseLease()
