--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -82,9 +82,11 @@
 	Brittle brittle.Statements `cbor:",omitempty"`
 	// Quota is the demand of the client accounts with a quota; omitted if there are none.
 	Quota *quota.Report `cbor:",omitempty"`
-	// CutOff reports that the sender reaches no runner, Stopping that it is about to stop.
+	// CutOff reports that the sender reaches no runner, Stopping that it is about to stop, ProxyingEnded that it takes no requests of other VMs any more.
 	CutOff   bool `cbor:",omitempty"`
 	Stopping bool `cbor:",omitempty"`
+
+	ProxyingEnded bool `cbor:",omitempty"`
 }
 
 // missingModel names a model or adapter that a caller requested and no runner holds.
