--- a/internal/dispatch/replay_brittle_test.go
+++ b/internal/dispatch/replay_brittle_test.go
@@ -203,6 +203,7 @@
 		"large fleet": func(p *replayPattern) { p.vms, p.slots, p.queue, p.totalsInterval = 90, 64, 64, 400*time.Millisecond },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(2) {
 				pattern := brittleFleet
 				times := *brittleFleet.brittle
@@ -235,6 +236,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(2) {
 				pattern := brittleFleet
 				times := *brittleFleet.brittle
