--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"context"
 	"maps"
 	"sync"
 
@@ -29,6 +30,8 @@
 	compressedSent   int
 	resignedFence    uint64
 	receivedOrigins  []origin.Batch
+	receivedStarts   []origin.Batch
+	census           func() origin.Census
 	leasePosition    logservice.Position
 	rates            []orders.Rate
 
@@ -149,3 +152,14 @@
 func (v *fakeVM) ReceiveOrigins(batches []origin.Batch) {
 	v.update(func(v *fakeVM) { v.receivedOrigins = append(v.receivedOrigins, batches...) })
 }
+
+func (v *fakeVM) Count(context.Context) origin.Census {
+	v.mu.Lock()
+	count := v.census
+	v.mu.Unlock()
+	return count()
+}
+
+func (v *fakeVM) ReceiveStarts(batches []origin.Batch) {
+	v.update(func(v *fakeVM) { v.receivedStarts = append(v.receivedStarts, batches...) })
+}
--- a/internal/dispatch/sections.go
+++ b/internal/dispatch/sections.go
@@ -65,14 +65,14 @@
 		return
 	}
 	c.recordProgress(a, a.progress.WithData(a.lastUpdate))
-	if c.service.Engine != nil && a.response.successful() {
+	if c.service.Engine != nil && a.response.successful() && !a.pick.proxied {
 		c.d.Guard.RecordUnmarkedEnd(a.pick.runner, c.request.PromptSections, a.progress, a.lastUpdate)
 	}
 }
 
 // brokenOff reports whether an attempt failed because the other side ended the connection.
 func brokenOff(err error) bool {
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, syscall.ECONNREFUSED} {
 		if errors.Is(err, cause) {
 			return true
 		}
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -38,10 +38,15 @@
 // Error implements error.
 func (e *ConnectionLimitError) Error() string { return "connection limit reached at " + e.Address }
 
+// Dialer opens connections; net.Dialer implements it.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Pool is a pool of connections to endpoints.
 type Pool struct {
 	clock  clockwork.Clock
-	dialer *net.Dialer
+	dialer Dialer
 
 	mu sync.Mutex
 	// hosts holds the connections to each address.
@@ -49,17 +54,22 @@
 	opened uint64
 }
 
-// hostConns are the connections to one address; open counts the idle ones and those in use.
+// hostConns are the connections to one address; open counts the idle ones, those in use and those being opened.
 type hostConns struct {
 	idle []*conn
 	open int
+	// conns holds the idle ones and those in use.
+	conns map[*conn]struct{}
 }
 
-// NewPool returns an empty pool.
-func NewPool(clock clockwork.Clock) *Pool {
+// NewPool returns an empty pool whose connections are opened by NewDialer's dialer.
+func NewPool(clock clockwork.Clock) *Pool { return NewPoolWithDialer(NewDialer(), clock) }
+
+// NewPoolWithDialer returns an empty pool whose connections are opened by a dialer.
+func NewPoolWithDialer(dialer Dialer, clock clockwork.Clock) *Pool {
 	return &Pool{
 		clock:  clock,
-		dialer: NewDialer(),
+		dialer: dialer,
 		hosts:  make(map[string]*hostConns),
 	}
 }
@@ -138,7 +148,12 @@
 			Cause:   err,
 		}
 	}
-	return newConn(socket, func() { p.releaseSlot(address) }), nil
+	c := newConn(socket)
+	c.onClose = func() { p.forget(address, c) }
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.host(address).conns[c] = struct{}{}
+	return c, nil
 }
 
 // takeIdle returns the most recently used idle connection that suits the target, or nil after it has counted a new connection as
@@ -179,7 +194,9 @@
 func (p *Pool) host(address string) *hostConns {
 	h, ok := p.hosts[address]
 	if !ok {
-		h = &hostConns{}
+		h = &hostConns{
+			conns: make(map[*conn]struct{}),
+		}
 		p.hosts[address] = h
 	}
 	return h
@@ -211,6 +228,16 @@
 	}
 }
 
+// forget counts a connection to an address that was closed as no longer open.
+func (p *Pool) forget(address string, c *conn) {
+	p.mu.Lock()
+	if h, ok := p.hosts[address]; ok {
+		delete(h.conns, c)
+	}
+	p.mu.Unlock()
+	p.releaseSlot(address)
+}
+
 // Prune closes idle connections whose idle timeout has passed and drops addresses without connections.
 func (p *Pool) Prune() {
 	p.mu.Lock()
