--- a/internal/cluster/brittle.go
+++ b/internal/cluster/brittle.go
@@ -25,3 +25,12 @@
 		h.broadcast(frame{Brittle: statements})
 	}
 }
+
+// receiveBrittleness handles the statements of a frame and reports whether it has any.
+func receiveBrittleness(local LocalVM, f frame) bool {
+	if f.Brittle == nil {
+		return false
+	}
+	local.ReceiveBrittleness(f.Brittle)
+	return true
+}
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -257,8 +257,7 @@
 		s.local.ReceiveQuarantineStatus(*f.Quarantine)
 	case f.Paces != nil:
 		s.local.ReceivePaces(f.Paces)
-	case f.Brittle != nil:
-		s.local.ReceiveBrittleness(f.Brittle)
+	case receiveBrittleness(s.local, f):
 	case f.Grant != nil:
 		s.local.ReceiveGrant(f.Grant)
 	case f.Proxies != nil:
--- a/internal/dispatch/brittle_test.go
+++ b/internal/dispatch/brittle_test.go
@@ -38,6 +38,7 @@
 	require.Equal(t, 1, h.sender.count())
 	require.Equal(t, http.StatusServiceUnavailable, h.caller.refused.Status)
 	require.Equal(t, refusal.NotRun, h.caller.refused.Ran)
+	require.Contains(t, h.caller.refused.Message, "brittle")
 	require.Positive(t, h.caller.refused.RetryAfter)
 	require.Less(t, h.caller.refused.RetryAfter, time.Second)
 }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -220,7 +220,12 @@
 	if c.release != nil && c.pick.staying == 0 {
 		return refusal.New(http.StatusServiceUnavailable, refusal.ReleaseGone, "no runner of the release that began the stream has the model")
 	}
-	refused := refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, "no runner can take the request now")
+	message := "no runner can take the request now"
+	if c.pick.withoutRoom > 0 {
+		c.d.Metrics.requestWithoutRoom(c.service.Name)
+		message = "the runners are brittle and have no room for the request now"
+	}
+	refused := refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, message)
 	if needs.model != "" && c.pick.withModel == 0 && needs.adapter == "" {
 		return refused.WithRetryAfter(c.retryAfter(c.loadTime(needs.model) + missingModelDelay))
 	}
--- a/internal/dispatch/choose.go
+++ b/internal/dispatch/choose.go
@@ -31,6 +31,8 @@
 	// does so now.
 	staying int
 	pause   time.Duration
+	// withoutRoom is how many of staying are brittle and have no room.
+	withoutRoom int
 	// admit is the share of requests for the model that its runners can serve within the limit.
 	admit float64
 	// pace is the pace of the runner, 0 if it isn't known, and paceFactor how much longer requests take there than at the mean one.
@@ -131,6 +133,9 @@
 		return
 	}
 	hasRoom, roomIn := t.roomAt(runner, state, needs, now)
+	if !hasRoom {
+		best.withoutRoom++
+	}
 	pause := max(state.pauseLeft(runner, now), roomIn)
 	if best.staying++; best.staying == 1 || pause < best.pause {
 		best.pause = pause
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -23,6 +23,7 @@
 	resumedStreams *prometheus.CounterVec
 	accounts       *prometheus.CounterVec
 	shed           *prometheus.CounterVec
+	withoutRoom    *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics registered with the registerer.
@@ -67,7 +68,11 @@
 		Name: "cowsliparch_requests_shed_total",
 		Help: "Requests that were delayed or refused because of a lack of capacity, by rank and reason.",
 	}, []string{"service", "rank", "action", "reason"})
-	r.MustRegister(m.requests, m.onTime, m.paused, m.firstByte, m.duration, m.failedSends, m.resumedStreams, m.accounts, m.shed)
+	m.withoutRoom = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cowsliparch_requests_without_room_total",
+		Help: "Requests that were not sent because runners say that they are brittle and have no room.",
+	}, []string{"service"})
+	r.MustRegister(m.requests, m.onTime, m.paused, m.firstByte, m.duration, m.failedSends, m.resumedStreams, m.accounts, m.shed, m.withoutRoom)
 	return m
 }
 
@@ -99,6 +104,8 @@
 
 func (m *Metrics) streamResumed(service string) { m.resumedStreams.WithLabelValues(service).Inc() }
 
+func (m *Metrics) requestWithoutRoom(service string) { m.withoutRoom.WithLabelValues(service).Inc() }
+
 func (m *Metrics) requestShed(service string, rank int, d shedding.Decision) {
 	m.shed.WithLabelValues(service, priorityLabel(rank), string(d.Action), string(d.Reason)).Inc()
 }
