--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"github.com/cowsliparch/cowsliparch/internal/brittle"
 	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/orders"
 	"github.com/cowsliparch/cowsliparch/internal/origin"
@@ -40,8 +41,13 @@
 	Changes []roster.Change `cbor:",omitempty"`
 	// Releases holds the releases of Runners or Changes, in their order; omitted if none states one.
 	Releases []string `cbor:",omitempty"`
+	// Starts names streams that began while their service had a single release, for the lease holder to remember.
+	Starts []origin.Batch `cbor:",omitempty"`
 	// Origins names the releases that began streams, for the lease holder to append to the log.
 	Origins []origin.Batch `cbor:",omitempty"`
+	// CensusRequest is the number of a request for a census, which Census answers.
+	CensusRequest uint64       `cbor:",omitempty"`
+	Census        *censusReply `cbor:",omitempty"`
 	// Usage describes the sender's requests at the runners.
 	Usage *usageReport `cbor:"Account,omitempty"`
 	// Occupancy is the number of requests of all VMs at each runner, sent by the lease holder.
@@ -54,6 +60,8 @@
 	Quarantine *quarantine.Status `cbor:",omitempty"`
 	// Paces holds paces of runners, sent by the lease holder.
 	Paces pacing.Paces `cbor:",omitempty"`
+	// Brittle holds what runners state on how many requests they can reject, sent by the lease holder.
+	Brittle brittle.Statements `cbor:",omitempty"`
 	// Grant is the receiver's share of the quotas of client accounts, sent by the lease holder.
 	Grant *quota.Grant `cbor:",omitempty"`
 	// Proxies is sent by the lease holder to a VM that is cut off from the runners.
@@ -70,6 +78,8 @@
 	Uses      []roster.ModelUse `cbor:",omitempty"`
 	// Paces holds the lowest figures that runners reported to the sender since its last report.
 	Paces pacing.Paces `cbor:",omitempty"`
+	// Brittle holds what runners stated to the sender on how many requests they can reject.
+	Brittle brittle.Statements `cbor:",omitempty"`
 	// Quota is the demand of the client accounts with a quota; omitted if there are none.
 	Quota *quota.Report `cbor:",omitempty"`
 	// CutOff reports that the sender reaches no runner, Stopping that it is about to stop, ProxyingEnded that it takes no requests of other VMs any more.
