dispatch: end events at any empty line

Callers see nothing of a stream whose lines end with CR alone, or in different ways, and it is broken off at its end. A whole stream with a blank line after its last event is broken off too, or taken up at another runner. The ID of an event whose lines end with CR was taken with the lines after it.

Cause: events were split at LF LF and CR LF CR LF only, while any empty line ends one.

Change: eventSplitter searches each byte once for the ends of lines. A CR at the end of what has arrived waits for its LF, unless the line before ended with CR alone: then the event is returned at once, and an LF that follows belongs to it. IDs are read line by line.

Measured: TestEventsEndWithAnyEmptyLine and TestBlankLinesAfterLastEventAreNoBreak failed before and pass, as do the new cases of TestEventSplitterReturnsCompleteEvents and TestEventSplitterReturnsAllEventsHoweverCut. One run with -race of internal/dispatch, outbound and proxy: only the 5 cases of TestContinuationThatMayRepeatEventsIsNotPassedOn fail that failed before. BenchmarkEventSplitter, an event of the largest size in chunks of 4 KiB: 3.1 ms. The fuzz test held for 5 s.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -237,21 +237,24 @@
 	return "stream does not begin with an event within the size limit"
 }
 
-// feed returns the events that data completes. What comes before the first event is held until then. It fails with
+// feed returns the events that an update completes. What comes before the first event is held until then. It fails with
 // EventTooLargeError or NoEventError.
-func (a *attempt) feed(data []byte, now time.Time) ([]byte, error) {
-	events, err := a.events.feed(data)
+func (a *attempt) feed(u update) ([]byte, error) {
+	events, err := a.events.feed(u.data)
+	if errors.Is(u.err, io.EOF) {
+		events = append(events, a.events.finish()...)
+	}
 	switch {
 	case len(a.events.pending) == 0:
 		a.pendingSince = time.Time{}
 	case len(events) > 0 || a.pendingSince.IsZero():
-		a.pendingSince = now
+		a.pendingSince = u.at
 	}
 	if a.answered || len(events) == 0 {
 		return events, err
 	}
 	a.held = append(a.held, events...)
-	if !hasEvent(events) {
+	if !a.events.begun {
 		if len(a.held) > maxPreludeBytes {
 			return nil, &NoEventError{Bytes: len(a.held)}
 		}
--- a/internal/dispatch/eventsplitter.go
+++ b/internal/dispatch/eventsplitter.go
@@ -2,84 +2,160 @@
 
 import "bytes"
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// lineEnds are the bytes that end a line, each by itself or as CR LF.
+	lineEnds = "\r\n"
+)
 
-// eventSplitter splits a stream of server-sent events into complete ones.
+// eventSplitter splits a stream of server-sent events into complete ones, which end with an empty line.
 type eventSplitter struct {
 	pending []byte
-	// lastID is the ID of the last complete event.
-	lastID string
+	// scanned is how much of pending has been searched for the ends of lines, and lineStart is where its last line begins.
+	scanned   int
+	lineStart int
+	// end is where the last complete event ends, with the empty lines after it; previousEnd is the same for the event before.
+	end         int
+	previousEnd int
+	// afterEmpty is set if the line before is empty, and afterCR if it ended with CR alone.
+	afterEmpty bool
+	afterCR    bool
+	// skipLF is set if the last event was returned at a CR, to which an LF may belong.
+	skipLF bool
+	// begun is set once a complete part had more than comments and empty lines.
+	begun bool
+	// firstID is the first ID of the complete events that is not empty; lastID is the last one.
+	firstID string
+	lastID  string
 }
 
 // feed returns the events that a chunk completes and keeps the incomplete rest.
 func (s *eventSplitter) feed(data []byte) ([]byte, error) {
-	// Only a separator that ends in data is new.
-	start := max(len(s.pending)-maxSeparatorBytes+1, 0)
 	s.pending = append(s.pending, data...)
-	end := lastEventEnd(s.pending[start:])
-	if end == 0 {
-		if len(s.pending) > maxEventBytes {
-			return nil, &EventTooLargeError{Bytes: len(s.pending)}
-		}
-		return nil, nil
-	}
-	end += start
-	complete := s.pending[:end:end]
-	s.pending = append([]byte(nil), s.pending[end:]...)
-	if id, ok := lastEventID(complete); ok {
-		s.lastID = id
+	complete := s.take(s.scan())
+	if len(complete) == 0 && len(s.pending) > maxEventBytes {
+		return nil, &EventTooLargeError{Bytes: len(s.pending)}
 	}
 	return complete, nil
 }
 
-// maxSeparatorBytes is the length of the longest separator of events.
-const maxSeparatorBytes = len("\r\n\r\n")
+// finish returns the events that the end of the stream completes: no LF follows its last CR.
+func (s *eventSplitter) finish() []byte {
+	if s.scanned < len(s.pending) {
+		s.endLine(s.scanned, s.scanned+1)
+	}
+	return s.take(s.end)
+}
 
-// lastEventEnd returns where the last complete event ends, or 0 if there is none.
-func lastEventEnd(b []byte) int {
-	end := 0
-	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(b, separator); i >= 0 {
-			end = max(end, i+len(separator))
+// scan searches what is new for the ends of lines and returns where the events end that are complete.
+func (s *eventSplitter) scan() int {
+	if s.skipLF && len(s.pending) > 0 {
+		s.skipLF = false
+		if s.pending[0] == '\n' {
+			s.endLine(0, 1)
+		}
+	}
+	for {
+		i := bytes.IndexAny(s.pending[s.scanned:], lineEnds)
+		if i < 0 {
+			s.scanned = len(s.pending)
+			return s.end
 		}
+		i += s.scanned
+		next := i + 1
+		if s.pending[i] == '\r' {
+			switch {
+			case next < len(s.pending):
+				if s.pending[next] == '\n' {
+					next++
+				}
+			case s.afterCR && i == s.lineStart:
+				// Where lines end with CR alone, waiting for an LF would delay the event until the next one.
+				s.skipLF = true
+			default:
+				s.scanned = i
+				return s.endBeforeCR()
+			}
+		}
+		s.endLine(i, next)
 	}
-	return end
 }
 
-// lastEventID returns the last ID in a sequence of complete events.
-func lastEventID(complete []byte) (string, bool) {
-	start := bytes.LastIndex(complete, []byte("\nid:"))
-	switch {
-	case start >= 0:
-		start += len("\nid:")
-	case bytes.HasPrefix(complete, []byte("id:")):
-		start = len("id:")
-	default:
-		return "", false
+// endBeforeCR returns where the complete events end if the last byte is a CR to which an LF may belong. An event is returned with the
+// empty lines after it.
+func (s *eventSplitter) endBeforeCR() int {
+	if s.afterEmpty && s.scanned == s.lineStart {
+		return s.previousEnd
 	}
-	line, _, _ := bytes.Cut(complete[start:], []byte("\n"))
-	return string(bytes.TrimSpace(line)), true
+	return s.end
 }
 
-// firstEventID returns the first ID in a sequence of complete events.
-func firstEventID(complete []byte) (string, bool) {
-	for line := range bytes.Lines(complete) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id)), true
+// endLine notes a line that ends at a position, and where the next one begins.
+func (s *eventSplitter) endLine(end, next int) {
+	empty := end == s.lineStart
+	if empty {
+		if !s.afterEmpty {
+			s.previousEnd = s.end
 		}
+		s.end = next
 	}
-	return "", false
+	s.afterEmpty = empty
+	s.afterCR = next == end+1 && s.pending[end] == '\r'
+	s.scanned, s.lineStart = next, next
 }
 
-// hasEvent reports whether a part of a stream has more than comments and blank lines.
-func hasEvent(complete []byte) bool {
-	for line := range bytes.Lines(complete) {
-		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
-			return true
+// take removes and returns the complete events up to a position.
+func (s *eventSplitter) take(end int) []byte {
+	if end == 0 {
+		return nil
+	}
+	complete := s.pending[:end:end]
+	s.pending = append([]byte(nil), s.pending[end:]...)
+	s.scanned -= end
+	s.lineStart -= end
+	s.end -= end
+	s.previousEnd = 0
+	s.read(complete)
+	return complete
+}
+
+// read notes the IDs in a sequence of complete events.
+func (s *eventSplitter) read(complete []byte) {
+	var last []byte
+	found := false
+	for len(complete) > 0 {
+		var line []byte
+		line, complete = cutLine(complete)
+		if text := bytes.TrimSpace(line); len(text) == 0 || text[0] == ':' {
+			continue
+		}
+		s.begun = true
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if string(name) != "id" {
+			continue
+		}
+		last, found = bytes.TrimSpace(value), true
+		if s.firstID == "" {
+			s.firstID = string(last)
 		}
 	}
-	return false
+	if found {
+		s.lastID = string(last)
+	}
+}
+
+// cutLine returns the first line, without its end, and what follows it.
+func cutLine(b []byte) (line, rest []byte) {
+	i := bytes.IndexAny(b, lineEnds)
+	if i < 0 {
+		return b, nil
+	}
+	line, rest = b[:i], b[i+1:]
+	if b[i] == '\r' {
+		rest = bytes.TrimPrefix(rest, []byte("\n"))
+	}
+	return line, rest
 }
 
 // EventTooLargeError reports a stream event above the size limit.
--- a/internal/dispatch/eventsplitter_test.go
+++ b/internal/dispatch/eventsplitter_test.go
@@ -21,6 +21,11 @@
 		"id inside data only":      {[]string{"data: id: 6\n\n"}, []string{"data: id: 6\n\n"}, ""},
 		"no space after the colon": {[]string{"id:7\n\n"}, []string{"id:7\n\n"}, "7"},
 		"cut separators":           {[]string{"id: 8\n\r", "\n\r", "\n", "id: 9\n", "\n"}, []string{"", "", "id: 8\n\r\n\r\n", "", "id: 9\n\n"}, "9"},
+		"CR alone":                 {[]string{"id: 1\rdata: a\r\r", "id: 2\r", "\r"}, []string{"id: 1\rdata: a\r\r", "", "id: 2\r\r"}, "2"},
+		"LF after returned event":  {[]string{"id: 1\r\r", "\nid: 2\r", "\n", "\r\n"}, []string{"id: 1\r\r", "\n", "", "id: 2\r\n\r\n"}, "2"},
+		"CR LF is one end":         {[]string{"id: 1\r", "\ndata: a\r", "\n\r", "\n"}, []string{"", "", "", "id: 1\r\ndata: a\r\n\r\n"}, "1"},
+		"mixed ends":               {[]string{"id: 1\n\r\nid: 2\r\n\nid: 3\r\n\rid: 4"}, []string{"id: 1\n\r\nid: 2\r\n\nid: 3\r\n\r"}, "3"},
+		"id without a colon":       {[]string{"id: 1\n\n", "id\n\n"}, []string{"id: 1\n\n", "id\n\n"}, ""},
 		"event without an id":      {[]string{"id: 1\n\n", "data: x\n\n"}, []string{"id: 1\n\n", "data: x\n\n"}, "1"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -35,6 +40,26 @@
 	}
 }
 
+// Where a stream is cut must not matter to what is in it.
+func TestEventSplitterReturnsAllEventsHoweverCut(t *testing.T) {
+	for _, separator := range []string{"\n\n", "\r\r", "\r\n\r\n", "\n\r\n", "\r\n\n", "\r\r\n", "\n\r"} {
+		content := "id: 1" + separator + ": note" + separator + "id: 2\r\ndata: a" + separator + separator + "data: b\nid: 3" + separator
+		for step := 1; step <= len(content); step++ {
+			var s eventSplitter
+			var out []byte
+			for i := 0; i < len(content); i += step {
+				complete, err := s.feed([]byte(content[i:min(i+step, len(content))]))
+				require.NoError(t, err)
+				out = append(out, complete...)
+			}
+			out = append(out, s.finish()...)
+			require.Equal(t, content, string(out), "step %d", step)
+			require.Equal(t, "1", s.firstID)
+			require.Equal(t, "3", s.lastID)
+		}
+	}
+}
+
 func TestEventSplitterLimitsEventSize(t *testing.T) {
 	var s eventSplitter
 	_, err := s.feed(make([]byte, maxEventBytes+1))
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -10,7 +10,7 @@
 
 // size returns how many bytes of the response are held. Less than a chunk does not count: it is part of what any request takes.
 func (a *attempt) size() int {
-	n := a.headBytes + cap(a.body) + cap(a.held) + cap(a.events.pending) + len(a.events.lastID)
+	n := a.headBytes + cap(a.body) + cap(a.held) + cap(a.events.pending) + len(a.events.firstID) + len(a.events.lastID)
 	if n < chunkBytes {
 		return 0
 	}
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -45,7 +45,7 @@
 
 // relayEvents passes on the events that are complete.
 func (c *call) relayEvents(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
-	events, err := a.feed(u.data, a.lastUpdate)
+	events, err := a.feed(u)
 	if err == nil {
 		err = a.hold(events)
 	}
@@ -56,7 +56,7 @@
 	if a.answered && len(u.data) > 0 {
 		c.recordProgress(a, a.progress.WithData(a.lastUpdate))
 	}
-	if id, ok := firstEventID(events); ok && !a.numbered {
+	if id := a.events.firstID; id != "" && !a.numbered {
 		a.numbered = true
 		if !follows(c.lastEventID, id) {
 			return c.handleBreak(a, &ResumeError{
