--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
@@ -104,20 +103,6 @@
 	}
 }
 
-// follows reports whether an event ID may come after another one, which is empty if there is none. Of IDs that aren't numbers, it is only
-// known that the same one must not.
-func follows(last, id string) bool {
-	if last != "" && id == last {
-		return false
-	}
-	before, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		return true
-	}
-	after, err := strconv.ParseInt(id, 10, 64)
-	return err != nil || after > before
-}
-
 // relayWhole collects a response until its end, so that no caller gets a truncated one. One that is too large to collect, by itself or
 // together with all others, is passed on as it arrives, and broken off if it has no stated length and does not end.
 func (c *call) relayWhole(a *attempt, u update) (bool, *refusal.Refusal) {
