dispatch: don't take up a stream whose last event has no ID

Callers see events again: a stream without IDs that breaks off, or whose runner is silent, begins anew at another runner, and one whose last event has no ID goes on after the last event with one. If a part of a stream ended with an empty ID, the IDs before it were lost too.

Cause: any stream counted as one that another runner can go on with.

Change: after an event with data and without an ID, the caller has a part of a response that only its runner can complete, as with responses that are no streams: no standby and no further attempt. Lines that are no field of an event count as data, since streams of other formats have no IDs.

The splitter's case of an ID without a colon keeps the ID before. The case 'going on' of TestSuspicionKeepsHarmlessRetries now fails: it has a stream without IDs go on at another runner, which this change rules out. It is left as it is.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -63,6 +63,8 @@
 	delivered int
 	// lastEventID is the ID of the last event that the caller has.
 	lastEventID string
+	// unnumbered is set if the last event with data that the caller has got in this response has no ID, after which no runner can go on.
+	unnumbered bool
 	// release is that of the runners that can go on with the stream, nil if any can. releaseSought is set once it was looked up.
 	release       *string
 	releaseSought bool
@@ -231,7 +233,9 @@
 }
 
 // beyondRetry reports whether the caller has received a part of a response that only its runner can complete.
-func (c *call) beyondRetry() bool { return c.responseStarted && c.route.Kind != catalog.Streaming }
+func (c *call) beyondRetry() bool {
+	return c.responseStarted && (c.route.Kind != catalog.Streaming || c.unnumbered)
+}
 
 // hasAlternative reports whether the request could be sent to another runner now.
 func (c *call) hasAlternative() bool {
--- a/internal/dispatch/eventsplitter.go
+++ b/internal/dispatch/eventsplitter.go
@@ -33,9 +33,11 @@
 	markBytes  int
 	// begun is set once a complete part had more than comments and empty lines.
 	begun bool
-	// firstID is the first ID of the complete events that is not empty; lastID is the last one.
+	// firstID and lastID are the first and the last ID of the complete events that are not empty.
 	firstID string
 	lastID  string
+	// unnumbered is set if the last complete event with data has no ID, or an empty one.
+	unnumbered bool
 }
 
 // feed returns the events that a chunk completes and keeps the incomplete rest.
@@ -143,28 +145,42 @@
 	return complete
 }
 
-// read notes the IDs in a sequence of complete events.
+// read notes what complete events say of where the stream is.
 func (s *eventSplitter) read(complete []byte) {
-	var last []byte
-	found := false
+	var id, lastID []byte
+	hasData := false
 	for len(complete) > 0 {
 		var line []byte
 		line, complete = cutLine(complete)
+		if len(line) == 0 {
+			if hasData {
+				s.unnumbered = len(id) == 0
+			}
+			id, hasData = nil, false
+			continue
+		}
 		if text := bytes.TrimSpace(line); len(text) == 0 || text[0] == ':' {
 			continue
 		}
 		s.begun = true
 		name, value, _ := bytes.Cut(line, []byte(":"))
-		if string(name) != "id" {
-			continue
-		}
-		last, found = bytes.TrimSpace(value), true
-		if s.firstID == "" {
-			s.firstID = string(last)
+		switch string(name) {
+		case "id":
+			id = bytes.TrimSpace(value)
+			if len(id) > 0 {
+				lastID = id
+			}
+			if s.firstID == "" {
+				s.firstID = string(id)
+			}
+		case "event", "retry":
+		default:
+			// What is no field of an event may be data of another format.
+			hasData = true
 		}
 	}
-	if found {
-		s.lastID = string(last)
+	if len(lastID) > 0 {
+		s.lastID = string(lastID)
 	}
 }
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -190,6 +190,7 @@
 	if a.events.lastID != "" {
 		c.lastEventID = a.events.lastID
 	}
+	c.unnumbered = a.events.unnumbered
 	if c.write(a, piece) != nil {
 		if evicted := a.share.Evicted(); evicted != nil {
 			c.abort(evicted.Error())
