dispatch: take a stream as complete if no event follows its unconfirmed end

Callers see a whole stream broken off when its runner stops: a runner that stops in good order closes its listener and then ends its last stream, whose end nothing marks, so that it looks like one that was killed. The stream goes on at another runner, which has no event to add, and that counted as no continuation.

Change: if the last part of a stream ended between events with an UnconfirmedEndError, the marked end of a response without any event shows that it was complete. An event that is passed on, or any other break, ends that.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -65,6 +65,8 @@
 	lastEventID string
 	// unnumbered is set if the last event with data that the caller has got in this response has no ID, after which no runner can go on.
 	unnumbered bool
+	// endUnconfirmed is set if the stream may be complete: its last part ended after an event, but its runner may be gone.
+	endUnconfirmed bool
 	// release is that of the runners that can go on with the stream, nil if any can. releaseSought is set once it was looked up.
 	release       *string
 	releaseSought bool
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -90,6 +90,11 @@
 	case !a.answered && a.response.EndUnmarked:
 		// A stream has at least one event.
 		return c.handleBreak(a, io.ErrUnexpectedEOF)
+	case !a.begun && c.endUnconfirmed:
+		// No event follows the last one, so the stream was complete before.
+		c.prefer(a)
+		c.recordAnswered(a)
+		return true, nil
 	case !a.begun && (c.responseStarted || a == c.standby):
 		// Nothing shows that the stream was complete before.
 		return c.handleBreak(a, &ResumeError{
@@ -174,6 +179,7 @@
 		c.observeRunner(a)
 	}
 	a.begun = true
+	c.endUnconfirmed = false
 	c.bindRelease(a)
 	c.recordWrite(c.d.Clock.Now())
 	if !c.responseStarted {
--- a/internal/dispatch/update.go
+++ b/internal/dispatch/update.go
@@ -118,6 +118,10 @@
 	a.tracker.recordResult(a.pick.runner, false, a.lastUpdate)
 	c.recordReachFailure(a, err)
 	c.recordStrike(a, err)
+	if a.begun {
+		var unconfirmed *outbound.UnconfirmedEndError
+		c.endUnconfirmed = errors.As(err, &unconfirmed) && len(a.events.pending) == 0
+	}
 	return c.retryOrFail(a, "the answer broke off")
 }
 
