dispatch: count a response as ended when its connection ended

Callers see 504, or a stream that is broken off, for a response that ended before their deadline, if nothing marks its end and the runner tells late that it still runs.

Change: outbound.Response keeps when the end was read, and dispatch takes this for the time of the update.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -142,11 +142,15 @@
 	for {
 		buffer := chunks.Get().(*chunk)
 		n, err := response.Body.Read(buffer[:])
+		at := clock.Now()
+		if errors.Is(err, io.EOF) && response.Ended != nil {
+			at = response.Ended()
+		}
 		delivered := a.deliver(update{
 			data:   buffer[:n],
 			buffer: buffer,
 			err:    err,
-			at:     clock.Now(),
+			at:     at,
 		})
 		if !delivered || err != nil {
 			return
--- a/internal/dispatch/late_end_test.go
+++ b/internal/dispatch/late_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -93,3 +94,49 @@
 		})
 	}
 }
+
+// checkedReader checks, for a time, whether the runner still runs when its response has ended.
+type checkedReader struct {
+	io.Reader
+	clock clockwork.Clock
+	check time.Duration
+	ended time.Time
+}
+
+func (r *checkedReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if errors.Is(err, io.EOF) {
+		r.ended = r.clock.Now()
+		<-r.clock.After(r.check)
+	}
+	return n, err
+}
+
+// A response that ended in time is complete although the check whether its runner still runs took until the deadline.
+func TestCheckUntilDeadlineMakesNoEndLate(t *testing.T) {
+	const (
+		deadline = 5 * time.Second
+		check    = 500 * time.Millisecond
+	)
+	for _, path := range []string{"/once/", "/stream/", "/whole/"} {
+		t.Run(path, func(t *testing.T) {
+			h := newHarness(t)
+			next := unframed(h.endAfter(deadline - check))
+			h.sender.replies = []reply{func(ctx context.Context, r *dispatch.Request, attempt dispatch.Attempt) (*dispatch.Response, error) {
+				response, err := next(ctx, r, attempt)
+				body := &checkedReader{
+					Reader: response.Body,
+					clock:  h.clock,
+					check:  check,
+				}
+				response.Body, response.Ended = body, func() time.Time { return body.ended }
+				return response, err
+			}}
+			h.serveAdvancing(t, t.Context(), h.request(path), 10*time.Millisecond)
+			require.Equal(t, 1, h.sender.count())
+			require.Equal(t, strings.Repeat("data: x\n\n", endingEvents), h.caller.body)
+			require.False(t, h.caller.aborted)
+			require.Nil(t, h.caller.refused)
+		})
+	}
+}
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -60,6 +60,8 @@
 	// Proxy is set if the response came through another VM, unless Refused is.
 	Proxy *ProxyResult
 	Body  io.Reader
+	// Ended, unless it is nil, returns when the end of the body was read, which Body may return later. It is called after that.
+	Ended func() time.Time
 	// Close ends the response; before the end of the body, it makes the runner stop.
 	Close func()
 }
--- a/internal/outbound/confirm_test.go
+++ b/internal/outbound/confirm_test.go
@@ -1,8 +1,10 @@
 package outbound_test
 
 import (
+	"context"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -65,3 +67,27 @@
 	var notSent *endpoint.NotSentError
 	require.NotErrorAs(t, err, &notSent)
 }
+
+// The end of a response is when its connection ended, however long the endpoint takes to tell that it still runs.
+func TestCheckDoesNotDelayEnd(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := outbound.NewPool(clock)
+	e := newUnframedEndpoint(t, false)
+	sent := clock.Now()
+	response, err := p.Send(t.Context(), outbound.Target{
+		Address: e.listener.Addr().String(),
+		Check: func(context.Context) error {
+			clock.Advance(time.Second)
+			return nil
+		},
+	}, outbound.Request{
+		Method: http.MethodPost,
+		URI:    "/",
+		Host:   "h.example",
+	})
+	require.NoError(t, err)
+	_, err = io.ReadAll(response)
+	require.NoError(t, err)
+	require.Equal(t, sent, response.Ended())
+	require.Equal(t, time.Second, clock.Since(sent))
+}
--- a/internal/outbound/response.go
+++ b/internal/outbound/response.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // maxDiscardBytes limits the size of the body that is read and dropped when a response belongs to another request.
@@ -29,6 +30,8 @@
 	once    sync.Once
 	// complete is set once the whole body was read.
 	complete atomic.Bool
+	// ended is when the end of the body was read, zero before.
+	ended time.Time
 }
 
 func newResponse(p *Pool, address string, c *conn, response *http.Response, stopWatch func() bool, confirm func() error) *Response {
@@ -52,6 +55,9 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
+	if r.ended.IsZero() {
+		r.ended = r.pool.clock.Now()
+	}
 	if r.CloseDelimited() {
 		if reset := r.conn.resetError(); reset != nil {
 			return n, reset
@@ -65,6 +71,10 @@
 	return n, err
 }
 
+// Ended returns when the end of the body was read, before the endpoint was asked whether it still runs. It is not to be called while
+// Read is.
+func (r *Response) Ended() time.Time { return r.ended }
+
 // Close ends the response; the connection is reused only if the complete body was read and no more data is waiting on it.
 func (r *Response) Close() {
 	r.once.Do(func() {
