--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -1,11 +1,11 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cowsliparch/cowsliparch/internal/endpoint"
@@ -45,7 +45,7 @@
 
 // relayEvents passes on the events that are complete.
 func (c *call) relayEvents(ctx context.Context, a *attempt, u update) (bool, *refusal.Refusal) {
-	events, err := a.feed(u.data, a.lastUpdate)
+	events, err := a.feed(u)
 	if err == nil {
 		err = a.hold(events)
 	}
@@ -56,7 +56,7 @@
 	if a.answered && len(u.data) > 0 {
 		c.recordProgress(a, a.progress.WithData(a.lastUpdate))
 	}
-	if id, ok := firstEventID(events); ok && !a.numbered {
+	if id := a.events.firstID; id != "" && !a.numbered {
 		a.numbered = true
 		if !follows(c.lastEventID, id) {
 			return c.handleBreak(a, &ResumeError{
@@ -90,6 +90,11 @@
 	case !a.answered && a.response.EndUnmarked:
 		// A stream has at least one event.
 		return c.handleBreak(a, io.ErrUnexpectedEOF)
+	case !a.begun && c.endUnconfirmed:
+		// No event follows the last one, so the stream was complete before.
+		c.prefer(a)
+		c.recordAnswered(a)
+		return true, nil
 	case !a.begun && (c.responseStarted || a == c.standby):
 		// Nothing shows that the stream was complete before.
 		return c.handleBreak(a, &ResumeError{
@@ -104,20 +109,6 @@
 	}
 }
 
-// follows reports whether an event ID may come after another one, which is empty if there is none. Of IDs that aren't numbers, it is only
-// known that the same one must not.
-func follows(last, id string) bool {
-	if last != "" && id == last {
-		return false
-	}
-	before, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		return true
-	}
-	after, err := strconv.ParseInt(id, 10, 64)
-	return err != nil || after > before
-}
-
 // relayWhole collects a response until its end, so that no caller gets a truncated one. One that is too large to collect, by itself or
 // together with all others, is passed on as it arrives, and broken off if it has no stated length and does not end.
 func (c *call) relayWhole(a *attempt, u update) (bool, *refusal.Refusal) {
@@ -182,11 +173,13 @@
 	c.prefer(a)
 	if c.responseStarted && !a.begun {
 		c.recordResume(a.pick)
+		piece = bytes.TrimPrefix(piece, []byte(byteOrderMark))
 	}
 	if !a.begun {
 		c.observeRunner(a)
 	}
 	a.begun = true
+	c.endUnconfirmed = false
 	c.bindRelease(a)
 	c.recordWrite(c.d.Clock.Now())
 	if !c.responseStarted {
@@ -203,6 +196,7 @@
 	if a.events.lastID != "" {
 		c.lastEventID = a.events.lastID
 	}
+	c.unnumbered = a.events.unnumbered
 	if c.write(a, piece) != nil {
 		if evicted := a.share.Evicted(); evicted != nil {
 			c.abort(evicted.Error())
