dispatch: number the events of the test of harmless retries

TestSuspicionKeepsHarmlessRetries/going_on demands that a stream which breaks off goes on at another runner. The events of its first runner had no IDs, after which no runner can tell where to go on: since such a stream is broken off, as TestContinuationThatMayRepeatEventsIsNotPassedOn demands. The events have increasing IDs now; what the test demands is the same.

--- a/internal/dispatch/sections_test.go
+++ b/internal/dispatch/sections_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowsliparch/cowsliparch/internal/dispatch"
@@ -170,13 +172,30 @@
 	return n, err
 }
 
+// numberedReader returns events with increasing IDs, after a pause before each.
+type numberedReader struct {
+	clock  clockwork.Clock
+	pause  time.Duration
+	events int
+	last   int
+}
+
+func (r *numberedReader) Read(b []byte) (int, error) {
+	if r.last == r.events {
+		return 0, io.EOF
+	}
+	r.last++
+	<-r.clock.After(r.pause)
+	return copy(b, fmt.Sprintf("id: %d\ndata: x\n\n", r.last)), nil
+}
+
 // breakOffAfter replies with a stream that breaks off after some events, with 400 ms between two of them.
 func (h *harness) breakOffAfter(events int) reply {
 	return func(context.Context, *dispatch.Request, dispatch.Attempt) (*dispatch.Response, error) {
 		return &dispatch.Response{
 			Status: http.StatusOK,
 			Length: -1,
-			Body: &brokenReader{Reader: &pacedReader{
+			Body: &brokenReader{Reader: &numberedReader{
 				clock:  h.clock,
 				pause:  400 * time.Millisecond,
 				events: events,
