--- a/internal/outbound/confirm.go
+++ b/internal/outbound/confirm.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"slices"
 	"syscall"
 	"time"
 
@@ -38,9 +36,9 @@
 func (e *UnconfirmedEndError) Unwrap() error { return e.Cause }
 
 // confirmEnd fails with UnconfirmedEndError unless the endpoint still runs whose connection ended, as far as it answers target.Check or
-// holds one of the connections open that were before the response. That it accepts connections does not show that: the kernel does so for a
-// short time after the process was killed, and another process may have followed.
-func (p *Pool) confirmEnd(ctx context.Context, ended *conn, target Target, before []*conn) error {
+// holds a connection open whose number is not above newest, the one that was opened last before the response. That it accepts connections
+// does not show that: the kernel does so for a short time after the process was killed, and another process may have followed.
+func (p *Pool) confirmEnd(ctx context.Context, ended *conn, target Target, newest uint64) error {
 	// The end leaves room for another connection within the endpoint's limit.
 	ended.close()
 	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, checkTimeout)
@@ -52,7 +50,7 @@
 	// An endpoint that is about to stop accepts no connections while it completes its responses.
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		p.clock.Sleep(settleTime)
-		if slices.ContainsFunc(before, (*conn).established) {
+		if p.anyEstablished(target.Address, newest) {
 			return nil
 		}
 	}
@@ -67,16 +65,23 @@
 	}
 }
 
-// connsTo returns the connections to an address.
-func (p *Pool) connsTo(address string) []*conn {
+// newestConn returns the number of the connection that was opened last.
+func (p *Pool) newestConn() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.Collect(maps.Keys(p.host(address).conns))
+	return p.newest
 }
 
-// established reports whether the endpoint holds the connection open.
-func (c *conn) established() bool {
-	return !c.closed.Load() && c.tcpState() == unix.BPF_TCP_ESTABLISHED
+// anyEstablished reports whether the endpoint holds a connection open whose number is not above newest.
+func (p *Pool) anyEstablished(address string, newest uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.host(address).conns {
+		if c.number <= newest && !c.closed.Load() && c.tcpState() == unix.BPF_TCP_ESTABLISHED {
+			return true
+		}
+	}
+	return false
 }
 
 // tcpState returns the state of the connection, or -1 if it is unknown.
--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -20,6 +20,8 @@
 
 // conn is a connection to an endpoint, used by one request at a time.
 type conn struct {
+	// number orders the connections of a pool by the time of their opening.
+	number uint64
 	socket net.Conn
 	reader *bufio.Reader
 	// head limits what reader reads from the socket.
--- a/internal/outbound/pool.go
+++ b/internal/outbound/pool.go
@@ -52,6 +52,8 @@
 	// hosts holds the connections to each address.
 	hosts  map[string]*hostConns
 	opened uint64
+	// newest is the number of the connection that was opened last.
+	newest uint64
 }
 
 // hostConns are the connections to one address; open counts the idle ones, those in use and those being opened.
@@ -152,6 +154,8 @@
 	c.onClose = func() { p.forget(address, c) }
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.newest++
+	c.number = p.newest
 	p.host(address).conns[c] = struct{}{}
 	return c, nil
 }
--- a/internal/outbound/send.go
+++ b/internal/outbound/send.go
@@ -72,8 +72,8 @@
 	}
 	r := newResponse(p, target.Address, c, response, stopWatch)
 	if r.CloseDelimited() && target.Check != nil {
-		before := p.connsTo(target.Address)
-		r.confirm = sync.OnceValue(func() error { return p.confirmEnd(ctx, c, target, before) })
+		newest := p.newestConn()
+		r.confirm = sync.OnceValue(func() error { return p.confirmEnd(ctx, c, target, newest) })
 	}
 	return r, nil
 }
