origin: report streams again that a restored log has lost

Callers saw: after the store came back from a copy 8 s old, while runners of two releases served, streams that had begun in the lost seconds could be taken up nowhere but at the VM that began them.

Cause: VMs took an acknowledged report of StreamOrigins to be in the log for ever. After a restore they reported only what began later, although each still had what it had begun, and a read that reached the end of the log made the rest unknown.

No link was closed, which would have had the VMs report once more.

A VM now learns of a new era from any response of the store or from the lease's position in the holder's heartbeats, and reports again what it began and keeps. The lease holder also appends what it knows that the log named before, for VMs that have ended, and leaves out what it has appended in the new era. An append answered in another era than it was sent in is repeated.

TestRecoveryIsBounded is new: 390,000 streams, at most 40 appends in 0.1 s.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -54,6 +54,7 @@
 	ReleasesMixed         = Event{Number: 2004, Name: "ReleasesMixed", Level: slog.LevelInfo, Meaning: "The runners of `Service` have several releases of their software, or changed to another one; a stream goes on only at its own release.", Action: "None; see the section on several releases in OPERATIONS.md."}
 	RunnersOutOfReach     = Event{Number: 2005, Name: "RunnersOutOfReach", Level: slog.LevelWarn, Meaning: "This VM reaches no runner: `Silent` runners sent nothing for `SilenceMS`, or connections to `Failed` runners failed, and so did all `Probes`, within `AfterMS`.", Action: "Check the network between this VM and the runners, unless the runners are down."}
 	RunnersReached        = Event{Number: 2006, Name: "RunnersReached", Level: slog.LevelInfo, Meaning: "This VM opened connections to runners again, or no runner is registered any more (`Registered` is 0), `LastedMS` after event 2005.", Action: "None."}
+	StreamsReported       = Event{Number: 2007, Name: "StreamsReported", Level: slog.LevelInfo, Meaning: "After the log service came back from an older copy, in `Era`, this VM reported again which releases began `Streams` streams; the lease holder appends what the log lacks.", Action: "None; see the section on restored copies in OPERATIONS.md."}
 	OrderAccepted         = Event{Number: 3201, Name: "OrderAccepted", Level: slog.LevelInfo, Meaning: "A runner accepted an order.", Action: "None."}
 	OrderDeclined         = Event{Number: 3202, Name: "OrderDeclined", Level: slog.LevelInfo, Meaning: "A runner declined an order because another order is in progress, its order count differs or the fencing token is outdated.", Action: "None."}
 	OrderLost             = Event{Number: 3203, Name: "OrderLost", Level: slog.LevelWarn, Meaning: "An order was not answered and may still be carried out; the next accepted order voids it.", Action: "None."}
@@ -83,7 +84,7 @@
 		CallUnknown, ClaimsUnavailable,
 		AnswerCut, AnswerResumed, ForeignAnswerDropped,
 		CallAnswered, CallRefused, CallFailed, CallAborted, CallerLeft, SendFailed, StreamResumed, ResponseEvicted, CallersRefused,
-		RunnerRegistered, RunnerChanged, RunnerRemoved, ReleasesMixed, RunnersOutOfReach, RunnersReached,
+		RunnerRegistered, RunnerChanged, RunnerRemoved, ReleasesMixed, RunnersOutOfReach, RunnersReached, StreamsReported,
 		SettingsReloaded, SettingsUnusable, LinesDropped,
 		SectionSuspected, SectionQuarantined, SectionReleased,
 		QuotaGrantExpired, QuotaGranted,
--- a/internal/origin/batch.go
+++ b/internal/origin/batch.go
@@ -22,6 +22,13 @@
 	Keys []byte
 }
 
+func (b Batch) origin() begun {
+	return begun{
+		service: b.Service,
+		release: b.Release,
+	}
+}
+
 func (b Batch) keys() []key {
 	keys := make([]key, 0, len(b.Keys)/keyBytes)
 	for rest := b.Keys; len(rest) >= keyBytes; rest = rest[keyBytes:] {
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -10,6 +10,9 @@
 // by a Census that began after the caller's request came: the lease holder reads the registrations for all VMs that are linked to it, and
 // any other VM reads them itself. Requests that wait for a census share it.
 //
+// The log may come back from a copy that lacks its newest records. Each VM then reports again what it began, and the lease holder appends
+// what it knows that the log named. Until that is done, a stream that the log does not name may still become known.
+//
 // A VM may be lost, or out of step, when runners of a second release join, before it has reported what it began. So VMs also report streams
 // while there is a single release: to the lease holder and, through it, to a few VMs that keep them.
 package origin
--- a/internal/origin/index.go
+++ b/internal/origin/index.go
@@ -83,15 +83,37 @@
 	return i.origins[position], true
 }
 
-// collect adds the streams of a service, or of all if it is empty, to those that are to be reported.
-func (i *index) collect(service string, p pending) {
+// moveTo moves all streams to another index, where they are kept for as long as those that are new now.
+func (i *index) moveTo(other *index, now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	for _, generation := range []map[key]uint16{i.older, i.newer} {
+		for k, position := range generation {
+			other.add(k, i.origins[position], now)
+		}
+	}
+	i.newer, i.older = make(map[key]uint16), make(map[key]uint16)
+}
+
+// clear forgets all streams.
+func (i *index) clear() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.newer, i.older = make(map[key]uint16), make(map[key]uint16)
+}
+
+// collect adds the streams of a service, or of all if it is empty, to those that are to be reported, and returns their number.
+func (i *index) collect(service string, p pending) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var collected int
 	for _, generation := range []map[key]uint16{i.older, i.newer} {
 		for k, position := range generation {
 			if b := i.origins[position]; service == "" || b.service == service {
 				p.add(b, k)
+				collected++
 			}
 		}
 	}
+	return collected
 }
--- a/internal/origin/lookup.go
+++ b/internal/origin/lookup.go
@@ -35,6 +35,7 @@
 	defer cancel()
 	var counted bool
 	for {
+		t.noticeRestore()
 		if b, ok := t.get(k); ok && b.service == service {
 			return Origin{
 				Release: b.release,
@@ -55,7 +56,7 @@
 			}
 		}
 		limit := maxLookupTime
-		if t.readSince(started) {
+		if t.readSince(started) && !t.recovering() {
 			limit = lookupTimeout
 		}
 		left := started.Add(limit).Sub(t.Clock.Now())
@@ -85,7 +86,10 @@
 	if b, ok := t.kept.get(k); ok {
 		return b, true
 	}
-	return t.others.get(k)
+	if b, ok := t.logged.get(k); ok {
+		return b, true
+	}
+	return t.unlogged.get(k)
 }
 
 // read reads what was appended to the log since the last read. The pause between two reads keeps all VMs together within the rate of the
@@ -109,21 +113,31 @@
 	from := t.next
 	t.mu.Unlock()
 	page, err := t.Log.Read(ctx, Stream, from, wait)
+	t.noticeRestore()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changed *logservice.EraChangedError
 	switch {
 	case errors.As(err, &changed):
-		t.next = logservice.Position{Era: changed.Era}
+		t.enterEra(changed.Era)
 		return err
 	case notCreated(err):
+		if t.next.Offset > 0 {
+			t.restored()
+		}
 		t.readToEnd = began
 		return nil
 	case err != nil:
 		return err
+	}
+	t.enterEra(page.Era)
+	switch {
+	case t.next.Offset != from.Offset || page.Era != 0 && page.Era < t.era:
+		// The log was restored meanwhile, and is to be read from its start.
+		return nil
 	case page.Next < from.Offset:
 		// The log goes back without stating an era.
-		t.next = logservice.Position{}
+		t.restored()
 		return nil
 	}
 	for _, record := range page.Records {
@@ -144,6 +158,14 @@
 	return nil
 }
 
+// addLogged remembers the streams of a batch that is in the log.
+func (t *Tracker) addLogged(batch Batch) {
+	now := t.Clock.Now()
+	for _, k := range batch.keys() {
+		t.logged.add(k, batch.origin(), now)
+	}
+}
+
 // notCreated reports whether a read failed because nothing was appended to the stream yet.
 func notCreated(err error) bool {
 	var status *logservice.StatusError
@@ -157,15 +179,8 @@
 		event.RecordSkipped.Log(t.Logger, slog.String("Stream", Stream), slog.Uint64("Offset", uint64(record.Offset)), event.Error(err))
 		return
 	}
-	now := t.Clock.Now()
 	for _, batch := range batches {
-		b := begun{
-			service: batch.Service,
-			release: batch.Release,
-		}
-		for _, k := range batch.keys() {
-			t.others.add(k, b, now)
-		}
+		t.addLogged(batch)
 		if at := time.UnixMilli(batch.At); at.After(t.loggedAt[batch.Service]) {
 			t.loggedAt[batch.Service] = at
 		}
--- a/internal/origin/mix.go
+++ b/internal/origin/mix.go
@@ -72,14 +72,20 @@
 
 // anyWithin reports whether any service had several releases within a period.
 func (m *mixes) anyWithin(period time.Duration, now time.Time) bool {
+	return len(m.mixedServices(period, now)) > 0
+}
+
+// mixedServices returns the services that had several releases within a period.
+func (m *mixes) mixedServices(period time.Duration, now time.Time) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, seen := range m.services {
+	var services []string
+	for service, seen := range m.services {
 		if !seen.until.IsZero() && now.Sub(seen.until) < period {
-			return true
+			services = append(services, service)
 		}
 	}
-	return false
+	return services
 }
 
 // mixedWithin reports whether the service had several releases within a period, as far as was observed here.
--- /dev/null
+++ b/internal/origin/recovery_test.go
@@ -0,0 +1,175 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Streams that began in the seconds that a restored log lost must be known to all VMs again, also those of a VM that has ended since.
+func TestStreamsLostByRestoredLogAreKnownAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		// copied is how many of the streams began before the log was copied.
+		copied int
+		// ended are the VMs that end before it is restored; holder is the lease holder after that.
+		ended  []int
+		holder int
+		// left reports that the runners of one release have left before the log is restored.
+		left bool
+	}{
+		"recent copy":         {copied: 40},
+		"copy without any":    {},
+		"other VM has ended":  {copied: 10, ended: []int{2}},
+		"release has left":    {copied: 10, left: true},
+		"holder has changed":  {copied: 10, ended: []int{0}, holder: 1},
+		"most VMs have ended": {copied: 10, ended: []int{2, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(4, "v1", "v2")
+				time.Sleep(time.Second)
+				copied := 0
+				begin := func(from, to int) {
+					for i := from; i < to; i++ {
+						release := fmt.Sprint("v", i%2+1)
+						// The lease holder, which may end, begins none.
+						s.vms[1+i%3].tracker.RecordStart(fmt.Sprint("stream-", i), s.runner(release))
+						time.Sleep(50 * time.Millisecond)
+					}
+				}
+				begin(0, c.copied)
+				if c.copied > 0 {
+					time.Sleep(200 * time.Millisecond)
+					copied = s.log.length()
+				}
+				begin(c.copied, 60)
+				time.Sleep(200 * time.Millisecond)
+				for _, i := range c.ended {
+					s.vms[i].stop()
+				}
+				if c.holder != 0 {
+					for _, v := range s.vms[1:] {
+						v.holder.Store(s.vms[c.holder])
+						v.links.Add(1)
+					}
+				}
+				if c.left {
+					s.setReleases("v2")
+					time.Sleep(time.Second)
+				}
+				s.log.update(func(l *memoryLog) { l.down = true })
+				time.Sleep(300 * time.Millisecond)
+				s.log.restore(copied)
+				s.log.update(func(l *memoryLog) { l.down = false })
+				time.Sleep(recoveryTime)
+				fresh := s.addVM()
+				fresh.holder.Store(s.vms[c.holder])
+				for i := range 60 {
+					require.Equal(t, known(fmt.Sprint("v", i%2+1)), fresh.lookup(fmt.Sprint("stream-", i)), "stream %d", i)
+				}
+				require.Equal(t, Origin{}, fresh.lookup("never begun"))
+				s.end()
+			})
+		})
+	}
+}
+
+// A caller may take up a stream right after the log was restored, before any other VM has reported it again.
+func TestLookupAwaitsStreamsThatRestoredLogLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(3, "v1", "v2")
+		time.Sleep(time.Second)
+		s.vms[1].tracker.RecordStart("stream", s.runner("v1"))
+		time.Sleep(time.Second)
+		s.log.restore(0)
+		require.Equal(t, known("v1"), s.vms[2].lookup("stream"))
+		require.Equal(t, Origin{}, s.vms[2].lookup("never begun"))
+		s.end()
+	})
+}
+
+// The log may be restored again before what it lost the first time is there, also while appends are under way.
+func TestStreamsOutlastRestoresInSeries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(3, "v1", "v2")
+		time.Sleep(time.Second)
+		for i := range 100 {
+			s.vms[i%3].tracker.RecordStart(fmt.Sprint("stream-", i), s.runner(fmt.Sprint("v", i%2+1)))
+			time.Sleep(37 * time.Millisecond)
+			if i%7 == 6 {
+				s.log.restore(s.log.length() * (i % 3) / 3)
+			}
+		}
+		time.Sleep(recoveryTime)
+		fresh := s.addVM()
+		for i := range 100 {
+			require.Equal(t, known(fmt.Sprint("v", i%2+1)), fresh.lookup(fmt.Sprint("stream-", i)), "stream %d", i)
+		}
+		s.end()
+	})
+}
+
+// A VM that finds that the log goes back without stating an era reports what it began again.
+func TestStreamsLostWithoutEraAreKnownAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(0, "v1", "v2")
+		s.log.update(func(l *memoryLog) { l.era = 0 })
+		s.addVM()
+		s.addVM()
+		time.Sleep(time.Second)
+		s.vms[1].tracker.RecordStart("stream", s.runner("v1"))
+		require.Equal(t, Origin{}, s.vms[1].lookup("never begun"))
+		s.log.update(func(l *memoryLog) { l.records = nil })
+		require.Equal(t, Origin{}, s.vms[1].lookup("never begun"))
+		fresh := s.addVM()
+		require.Equal(t, known("v1"), fresh.lookup("stream"))
+		s.end()
+	})
+}
+
+// At full size, a restored log costs a bounded number of appends, at a rate that leaves room for other writers.
+func TestRecoveryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			vms = 4
+			// streams begin at 13,000 a second for as long as they may be taken up.
+			streams    = 13_000 * 30
+			steps      = 300
+			writeLimit = 400
+		)
+		s := newSystem(0, "v1", "v2")
+		s.count = 340
+		for range vms {
+			s.addVM()
+		}
+		time.Sleep(time.Second)
+		for step := range steps {
+			for i := range streams / steps {
+				n := step*streams/steps + i
+				s.vms[i%vms].tracker.RecordStart(fmt.Sprint("stream-", n), s.runner("v1"))
+			}
+			time.Sleep(memory / steps)
+		}
+		_, before := s.log.calls()
+		s.log.restore(0)
+		var busiest int
+		for range int(recoveryTime / (100 * time.Millisecond)) {
+			_, begun := s.log.calls()
+			time.Sleep(100 * time.Millisecond)
+			_, ended := s.log.calls()
+			busiest = max(busiest, ended-begun)
+		}
+		_, after := s.log.calls()
+		require.LessOrEqual(t, busiest, writeLimit/10, "appends in 0.1 s")
+		bytes := 0
+		for _, record := range s.log.records {
+			bytes += len(record.Payload)
+		}
+		require.Less(t, bytes, 3*streams*keyBytes)
+		require.Less(t, after-before, 3*streams*keyBytes/maxRecordBytes+100)
+		s.end()
+	})
+}
--- a/internal/origin/starts.go
+++ b/internal/origin/starts.go
@@ -26,10 +26,7 @@
 func (t *Tracker) ReceiveStarts(batches []Batch) {
 	now := t.Clock.Now()
 	for _, batch := range batches {
-		b := begun{
-			service: batch.Service,
-			release: batch.Release,
-		}
+		b := batch.origin()
 		keys := batch.keys()
 		for _, k := range keys {
 			t.kept.add(k, b, now)
--- a/internal/origin/system_test.go
+++ b/internal/origin/system_test.go
@@ -24,20 +24,22 @@
 	mu      sync.Mutex
 	records []logservice.Record
 	era     logservice.Era
-	down    bool
-	reads   int
-	appends int
+	// restoredAt is when the log last came back from a copy.
+	restoredAt time.Time
+	down       bool
+	reads      int
+	appends    int
 	// appended is closed and replaced at each append.
 	appended chan struct{}
 }
 
-func (l *memoryLog) Append(_ context.Context, stream string, payload []byte) error {
+func (l *memoryLog) Append(_ context.Context, stream string, payload []byte) (logservice.Era, error) {
 	time.Sleep(4 * time.Millisecond)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends++
 	if l.down {
-		return &logservice.UnavailableError{Stream: stream, Cause: errDown}
+		return 0, &logservice.UnavailableError{Stream: stream, Cause: errDown}
 	}
 	l.records = append(l.records, logservice.Record{
 		Offset:  logservice.Offset(len(l.records)),
@@ -45,7 +47,26 @@
 	})
 	close(l.appended)
 	l.appended = make(chan struct{})
-	return nil
+	return l.era, nil
+}
+
+// Era tells nothing: the VMs of these tests learn of a new era from what they read and append, and from the lease holder.
+func (l *memoryLog) Era() logservice.Era { return 0 }
+
+// restore has the log come back from a copy with its first records, in a new era.
+func (l *memoryLog) restore(records int) {
+	l.update(func(l *memoryLog) {
+		l.records = slices.Clip(l.records[:records])
+		l.era++
+		l.restoredAt = time.Now()
+	})
+}
+
+// length returns the number of records.
+func (l *memoryLog) length() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
 }
 
 func (l *memoryLog) Read(_ context.Context, stream string, from logservice.Position, wait time.Duration) (logservice.Page, error) {
@@ -102,6 +123,7 @@
 
 // vm is one VM with a tracker; the first one of the system holds the lease.
 type vm struct {
+	log    *memoryLog
 	holder atomic.Pointer[vm]
 	// keeper is the VM to which this one, as lease holder, passes streams on.
 	keeper  atomic.Pointer[vm]
@@ -124,6 +146,21 @@
 func (v *vm) Informed() bool   { return !v.cut.Load() }
 func (v *vm) VMs() int         { return v.count }
 
+// eraNoticeTime is how long after the log was restored the lease holder has told all VMs.
+const eraNoticeTime = 1500 * time.Millisecond
+
+func (v *vm) LogEra() logservice.Era {
+	if v.unlinked.Load() || v.cut.Load() {
+		return 0
+	}
+	v.log.mu.Lock()
+	defer v.log.mu.Unlock()
+	if !v.log.restoredAt.IsZero() && time.Since(v.log.restoredAt) < eraNoticeTime {
+		return v.log.era - 1
+	}
+	return v.log.era
+}
+
 // Elapsed implements boottime.Clock.
 func (v *vm) Elapsed() time.Duration {
 	return time.Since(v.startedAt) + time.Duration(v.suspended.Load())
@@ -207,6 +244,7 @@
 
 func (s *system) addVM() *vm {
 	v := &vm{
+		log:       s.log,
 		count:     s.count,
 		startedAt: time.Now(),
 	}
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -49,10 +49,13 @@
 
 // Log is the log that outlasts all VMs.
 type Log interface {
-	// Append appends a record to a stream.
-	Append(ctx context.Context, stream string, payload []byte) error
+	// Append appends a record to a stream and returns the era that the response states, 0 if it states none. The record may have been
+	// appended in an earlier one.
+	Append(ctx context.Context, stream string, payload []byte) (logservice.Era, error)
 	// Read is that of logservice.ConditionalLog.
 	Read(ctx context.Context, stream string, from logservice.Position, wait time.Duration) (logservice.Page, error)
+	// Era returns the newest era that a response to this VM has stated, 0 if none has.
+	Era() logservice.Era
 }
 
 // Peers connects a tracker to the other VMs.
@@ -71,6 +74,8 @@
 	Census(ctx context.Context) (Census, bool)
 	// VMs returns the number of VMs.
 	VMs() int
+	// LogEra returns the newest era of the log that the lease holder has reported, 0 if it has reported none.
+	LogEra() logservice.Era
 }
 
 // Dependencies holds what a tracker uses.
@@ -89,11 +94,12 @@
 type Tracker struct {
 	Dependencies
 	mixes mixes
-	// own has the streams that began here, kept those of other VMs that began while their service had a single release, others those read
-	// from the log.
-	own    *index
-	kept   *index
-	others *index
+	// own has the streams that began here, kept those of other VMs that began while their service had a single release, logged those that
+	// the log is known to name, and unlogged those that it named before it was restored from a copy.
+	own      *index
+	kept     *index
+	logged   *index
+	unlogged *index
 	// reads lets requests that look for streams share a read of the log.
 	reads singleflight.Group
 	// counts and censuses let them, and other VMs, share a look at the releases that began after they asked.
@@ -126,6 +132,11 @@
 	// been missed.
 	observedAt    time.Duration
 	observedSince time.Time
+	// era is the newest era of the log that is known here, 0 if none is, and restoredAt when this VM learned that the log was restored.
+	era        logservice.Era
+	restoredAt time.Time
+	// unloggedPending is set until this VM, as lease holder, has the unlogged streams appended.
+	unloggedPending bool
 }
 
 // New returns a tracker; Run reports streams.
@@ -135,7 +146,8 @@
 		mixes:         mixes{services: make(map[string]*mix)},
 		own:           newIndex(memory / 2),
 		kept:          newIndex(memory / 2),
-		others:        newIndex(memory / 2),
+		logged:        newIndex(memory / 2),
+		unlogged:      newIndex(memory / 2),
 		starts:        make(pending),
 		outgoing:      make(pending),
 		loggedAt:      make(map[string]time.Time),
@@ -170,6 +182,8 @@
 	t.reads.DoChan("", func() (any, error) { return nil, t.readPage(finalCtx, 0) })
 	for ctx.Err() == nil {
 		t.observe()
+		t.noticeRestore()
+		t.recoverUnlogged()
 		t.reportStarts()
 		t.report(finalCtx)
 		pause.For(ctx, t.Clock, t.interval())
@@ -221,7 +235,9 @@
 	t.mu.Unlock()
 	for due && len(batches) > 0 && t.appending.Load() < maxAppends {
 		n := fitRecord(batches)
-		t.startAppend(ctx, batches[:n])
+		if unlogged := t.withoutLogged(batches[:n]); len(unlogged) > 0 {
+			t.startAppend(ctx, unlogged)
+		}
 		batches = batches[n:]
 	}
 	t.keep(batches)
@@ -276,7 +292,24 @@
 	if err != nil {
 		return false
 	}
-	return t.Log.Append(ctx, Stream, payload) == nil
+	t.mu.Lock()
+	sent := t.era
+	t.mu.Unlock()
+	stated, err := t.Log.Append(ctx, Stream, payload)
+	if err != nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.enterEra(stated)
+	if sent != 0 && t.era != sent {
+		// The log may have been restored after the append, from a copy that lacks the record.
+		return false
+	}
+	for _, batch := range batches {
+		t.addLogged(batch)
+	}
+	return true
 }
 
 // keep has batches appended later, unless that failed for too long.
--- a/internal/serving/origin.go
+++ b/internal/serving/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/cowsliparch/cowsliparch/internal/logservice"
 	"github.com/cowsliparch/cowsliparch/internal/origin"
 	"github.com/cowsliparch/cowsliparch/internal/roster"
 )
@@ -81,3 +82,9 @@
 
 // VMs implements origin.Peers.
 func (p *originPeers) VMs() int { return p.server.vmCount() }
+
+// LogEra implements origin.Peers.
+func (p *originPeers) LogEra() logservice.Era {
+	next, _ := p.server.lease.ReadPosition()
+	return next.Era
+}
