origin: restore streams of a lease holder that is lost with the log's records

Only the holder knew what it had appended, as an acknowledged append was taken to last. A new holder knows nothing of it.

The holder now has the VMs that keep streams of a single release also keep what it appends (frame field Logged, which VMs of earlier builds ignore). They report it again after a restore, and the holder leaves out what is there. A VM that gets the lease while releases are mixed reads the log to its end once.

TestStreamsOutlastHolderAndRestoredLog fails in its first case without the read, and in the other two without the keepers. TestRecoveryIsBounded now has a keeper, within the same bounds. go test of origin and cluster passed.

--- a/internal/cluster/fakevm_test.go
+++ b/internal/cluster/fakevm_test.go
@@ -31,6 +31,7 @@
 	resignedFence    uint64
 	receivedOrigins  []origin.Batch
 	receivedStarts   []origin.Batch
+	receivedLogged   []origin.Batch
 	census           func() origin.Census
 	leasePosition    logservice.Position
 	rates            []orders.Rate
@@ -160,6 +161,10 @@
 	return count()
 }
 
+func (v *fakeVM) ReceiveLogged(batches []origin.Batch) {
+	v.update(func(v *fakeVM) { v.receivedLogged = append(v.receivedLogged, batches...) })
+}
+
 func (v *fakeVM) ReceiveStarts(batches []origin.Batch) {
 	v.update(func(v *fakeVM) { v.receivedStarts = append(v.receivedStarts, batches...) })
 }
--- a/internal/cluster/frame.go
+++ b/internal/cluster/frame.go
@@ -43,6 +43,8 @@
 	Releases []string `cbor:",omitempty"`
 	// Starts names streams that began while their service had a single release, for the lease holder to remember.
 	Starts []origin.Batch `cbor:",omitempty"`
+	// Logged names streams that the lease holder has appended to the log, for the receiver to keep in case the log is restored from a copy.
+	Logged []origin.Batch `cbor:",omitempty"`
 	// Origins names the releases that began streams, for the lease holder to append to the log.
 	Origins []origin.Batch `cbor:",omitempty"`
 	// CensusRequest is the number of a request for a census, which Census answers.
--- a/internal/cluster/hub.go
+++ b/internal/cluster/hub.go
@@ -167,7 +167,7 @@
 		h.local.ReceiveOrigins(f.Origins)
 	case f.Starts != nil:
 		h.local.ReceiveStarts(f.Starts)
-		h.sendStarts(s, f.Starts)
+		h.sendToKeepers(s, frame{Starts: f.Starts})
 	case f.CensusRequest > 0:
 		go h.replyCensus(ctx, s, f.CensusRequest)
 	case f.MissingModel != nil:
--- a/internal/cluster/keepers.go
+++ b/internal/cluster/keepers.go
@@ -18,10 +18,13 @@
 }
 
 // SendStarts has some linked VMs keep streams of this one that began while their service had a single release.
-func (h *Hub) SendStarts(batches []origin.Batch) { h.sendStarts(nil, batches) }
+func (h *Hub) SendStarts(batches []origin.Batch) { h.sendToKeepers(nil, frame{Starts: batches}) }
 
-// sendStarts sends streams to keepers other than the VM that reported them.
-func (h *Hub) sendStarts(from *session, batches []origin.Batch) {
+// SendLogged has some linked VMs keep streams that this VM has appended to the log.
+func (h *Hub) SendLogged(batches []origin.Batch) { h.sendToKeepers(nil, frame{Logged: batches}) }
+
+// sendToKeepers sends streams to keepers other than the VM that reported them.
+func (h *Hub) sendToKeepers(from *session, f frame) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.keepers.version != h.membersVersion {
@@ -33,7 +36,7 @@
 	sent := 0
 	for _, s := range h.keepers.sessions {
 		if s != from && sent < startKeepers {
-			_ = s.link.TrySend(frame{Starts: batches})
+			_ = s.link.TrySend(f)
 			sent++
 		}
 	}
--- a/internal/cluster/keepers_test.go
+++ b/internal/cluster/keepers_test.go
@@ -45,4 +45,8 @@
 	spokes["v3"].SendStarts([]origin.Batch{{Service: "models"}})
 	require.Eventually(t, vms["v5"].check(func(v *fakeVM) bool { return len(v.receivedStarts) == 2 }), waitTimeout, pollInterval)
 	vms["v3"].update(func(v *fakeVM) { require.Len(t, v.receivedStarts, 1, "it began these itself") })
+	p.hub.SendLogged([]origin.Batch{{Service: "models"}})
+	for _, vm := range []*fakeVM{vms["v3"], vms["v5"]} {
+		require.Eventually(t, vm.check(func(v *fakeVM) bool { return len(v.receivedLogged) == 1 }), waitTimeout, pollInterval)
+	}
 }
--- a/internal/cluster/localvm.go
+++ b/internal/cluster/localvm.go
@@ -75,6 +75,8 @@
 	ReceiveQuarantineStatus(s quarantine.Status)
 	// ReceiveStarts handles the streams that began at another VM while their service had a single release.
 	ReceiveStarts(batches []origin.Batch)
+	// ReceiveLogged handles streams that the lease holder has appended to the log.
+	ReceiveLogged(batches []origin.Batch)
 	// ReceiveOrigins handles the releases that began streams at another VM, which this VM is to append to the log.
 	ReceiveOrigins(batches []origin.Batch)
 	// Count takes a census of the releases of runners for a linked VM.
--- a/internal/cluster/spoke.go
+++ b/internal/cluster/spoke.go
@@ -263,6 +263,8 @@
 		s.receiveProxies(link, f.Proxies)
 	case f.Starts != nil:
 		s.local.ReceiveStarts(f.Starts)
+	case f.Logged != nil:
+		s.local.ReceiveLogged(f.Logged)
 	case f.Census != nil:
 		s.receiveCensus(f.Census)
 	}
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -11,7 +11,8 @@
 // any other VM reads them itself. Requests that wait for a census share it.
 //
 // The log may come back from a copy that lacks its newest records. Each VM then reports again what it began, and the lease holder appends
-// what it knows that the log named. Until that is done, a stream that the log does not name may still become known.
+// what it knows that the log named. Until that is done, a stream that the log does not name may still become known. As the holder may be lost
+// as well, it has a few VMs keep what it appends, and a new holder reads the log.
 //
 // A VM may be lost, or out of step, when runners of a second release join, before it has reported what it began. So VMs also report streams
 // while there is a single release: to the lease holder and, through it, to a few VMs that keep them.
--- a/internal/origin/recovery.go
+++ b/internal/origin/recovery.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -71,6 +72,35 @@
 	}
 }
 
+// catchUp has a VM that has just got the lease read the log, so that it can restore what the log loses later of VMs that have ended.
+func (t *Tracker) catchUp(ctx context.Context) {
+	holder := t.Peers.HoldsLease()
+	now := t.Clock.Now()
+	t.mu.Lock()
+	switch {
+	case !holder:
+		t.heldSince = time.Time{}
+	case t.heldSince.IsZero():
+		t.heldSince = now
+	}
+	caughtUp := !holder || t.readToEnd.After(t.heldSince)
+	t.mu.Unlock()
+	if !caughtUp && t.mixes.anyWithin(memory, now) {
+		t.reads.DoChan("", func() (any, error) { return nil, t.readPage(ctx, 0) })
+	}
+}
+
+// ReceiveLogged handles streams that the lease holder has appended to the log. This VM reports them again if the log was restored from a copy,
+// as the holder may be lost at the same time.
+func (t *Tracker) ReceiveLogged(batches []Batch) {
+	now := t.Clock.Now()
+	for _, batch := range batches {
+		for _, k := range batch.keys() {
+			t.kept.add(k, batch.origin(), now)
+		}
+	}
+}
+
 // recovering reports whether the log was restored so recently that it may still lack streams.
 func (t *Tracker) recovering() bool {
 	t.mu.Lock()
--- a/internal/origin/recovery_test.go
+++ b/internal/origin/recovery_test.go
@@ -145,6 +145,7 @@
 		for range vms {
 			s.addVM()
 		}
+		s.vms[0].keeper.Store(s.vms[1])
 		time.Sleep(time.Second)
 		for step := range steps {
 			for i := range streams / steps {
@@ -173,3 +174,59 @@
 		s.end()
 	})
 }
+
+// The lease holder, which has appended all streams, may be lost with the seconds that a restored log lost, or shortly before.
+func TestStreamsOutlastHolderAndRestoredLog(t *testing.T) {
+	for name, c := range map[string]struct {
+		// successorTime is for how long another VM holds the lease before the log is away.
+		successorTime time.Duration
+		// keeper is the number of the VM that keeps streams for the holder, if keeps is set.
+		keeper int
+		keeps  bool
+	}{
+		"holder lost before":                      {successorTime: time.Second},
+		"holder lost at once, kept by successor":  {keeper: 1, keeps: true},
+		"holder lost at once, kept by another VM": {keeper: 2, keeps: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(4, "v1", "v2")
+				if c.keeps {
+					s.vms[0].keeper.Store(s.vms[c.keeper])
+				}
+				time.Sleep(time.Second)
+				for i := range 40 {
+					s.vms[i%4].tracker.RecordStart(fmt.Sprint("stream-", i), s.runner(fmt.Sprint("v", i%2+1)))
+					time.Sleep(50 * time.Millisecond)
+				}
+				time.Sleep(200 * time.Millisecond)
+				changeHolder := func() {
+					s.vms[0].stop()
+					s.vms[3].stop()
+					for _, v := range s.vms[1:] {
+						v.holder.Store(s.vms[1])
+						v.links.Add(1)
+					}
+				}
+				if c.successorTime > 0 {
+					changeHolder()
+					time.Sleep(c.successorTime)
+				}
+				s.log.update(func(l *memoryLog) { l.down = true })
+				time.Sleep(300 * time.Millisecond)
+				if c.successorTime == 0 {
+					changeHolder()
+				}
+				s.log.restore(0)
+				s.log.update(func(l *memoryLog) { l.down = false })
+				time.Sleep(recoveryTime)
+				fresh := s.addVM()
+				fresh.holder.Store(s.vms[1])
+				for i := range 40 {
+					require.Equal(t, known(fmt.Sprint("v", i%2+1)), fresh.lookup(fmt.Sprint("stream-", i)), "stream %d", i)
+				}
+				s.end()
+			})
+		})
+	}
+}
--- a/internal/origin/system_test.go
+++ b/internal/origin/system_test.go
@@ -181,6 +181,12 @@
 	return true
 }
 
+func (v *vm) SendLogged(batches []Batch) {
+	if keeper := v.keeper.Load(); keeper != nil && v.HoldsLease() && !v.unlinked.Load() {
+		keeper.tracker.ReceiveLogged(batches)
+	}
+}
+
 func (v *vm) SendStarts(batches []Batch) {
 	if v.unlinked.Load() {
 		return
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -64,6 +64,8 @@
 	HoldsLease() bool
 	// SendStarts has other VMs keep streams that began while their service had a single release, if there are links.
 	SendStarts(batches []Batch)
+	// SendLogged has other VMs keep streams that this VM, as the lease holder, has appended to the log.
+	SendLogged(batches []Batch)
 	// SendOrigins reports streams over the present link to the lease holder, and returns false if there is none.
 	SendOrigins(batches []Batch) bool
 	// Links returns the number of links to lease holders that were opened so far.
@@ -94,8 +96,8 @@
 type Tracker struct {
 	Dependencies
 	mixes mixes
-	// own has the streams that began here, kept those of other VMs that began while their service had a single release, logged those that
-	// the log is known to name, and unlogged those that it named before it was restored from a copy.
+	// own has the streams that began here, kept those that this VM keeps for others, logged those that the log is known to name, and unlogged
+	// those that it named before it was restored from a copy.
 	own      *index
 	kept     *index
 	logged   *index
@@ -124,8 +126,10 @@
 	// next is the position of the next read, lastRead when the last one began.
 	next     logservice.Position
 	lastRead time.Time
-	// readToEnd is when the last read began that reached the end of the log.
+	// readToEnd is when the last read began that reached the end of the log, and heldSince since when this VM holds the lease, zero if it does
+	// not.
 	readToEnd time.Time
+	heldSince time.Time
 	// loggedAt is the time of the newest batch of each service in the log.
 	loggedAt map[string]time.Time
 	// observedAt is when the releases were looked at last, as time since boot, and observedSince since when no change of them can have
@@ -183,6 +187,7 @@
 	for ctx.Err() == nil {
 		t.observe()
 		t.noticeRestore()
+		t.catchUp(finalCtx)
 		t.recoverUnlogged()
 		t.reportStarts()
 		t.report(finalCtx)
@@ -250,7 +255,9 @@
 		defer t.appending.Add(-1)
 		if !t.append(ctx, batches) {
 			t.keep(batches)
+			return
 		}
+		t.Peers.SendLogged(batches)
 	})
 }
 
--- a/internal/serving/origin.go
+++ b/internal/serving/origin.go
@@ -11,6 +11,9 @@
 // ReceiveStarts implements cluster.LocalVM.
 func (s *Server) ReceiveStarts(batches []origin.Batch) { s.origins.ReceiveStarts(batches) }
 
+// ReceiveLogged implements cluster.LocalVM.
+func (s *Server) ReceiveLogged(batches []origin.Batch) { s.origins.ReceiveLogged(batches) }
+
 // Count implements cluster.LocalVM.
 func (s *Server) Count(ctx context.Context) origin.Census { return s.origins.Count(ctx) }
 
@@ -66,6 +69,13 @@
 	p.server.spoke.SendStarts(batches)
 }
 
+// SendLogged implements origin.Peers.
+func (p *originPeers) SendLogged(batches []origin.Batch) {
+	if p.server.HoldsLease() {
+		p.server.hub.SendLogged(batches)
+	}
+}
+
 // Links implements origin.Peers.
 func (p *originPeers) Links() uint64 { return p.server.spoke.LinksOpened() }
 
