origin: take no service for one of a single release right after a restore

Callers would see: streams that began at one release go on at another (rule ORDER), if all VMs end as the store comes back from a copy that lacks the registrations and records of the second release.

Cause: a VM that has just started counts the registrations that the store has. The restored store lacks some for two seconds, and the log of streams lacks the records that would tell.

A VM that starts now sees in the stream of the lease that the store was restored and nobody has claimed the lease since; for 2.5 s it takes no service for one of a single release, and it awaits streams that the log does not name yet. Systems that start in other ways are not affected.

TestVMAfterRestoreAwaitsRegistrations failed without the check (Single, v1, for a stream of v2). TestLeaseIsUnclaimedAfterRestore is new with it. go test of origin, orderlease and serving passed.

--- a/internal/orderlease/lease.go
+++ b/internal/orderlease/lease.go
@@ -135,6 +135,13 @@
 	return l.newest.VMs
 }
 
+// Unclaimed reports whether the log came back from a copy and no VM is known to have claimed the lease since.
+func (l *Lease) Unclaimed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hasRecord && l.newestFence < fenceAt(logservice.Position{Era: l.next.Era})
+}
+
 // HolderSeen records that the holder sent a message over its link, up to which position it has read the stream, and its fencing token,
 // 0 if it does not tell. This VM need not read those records: it counts the term of the newest one from the arrival of the message,
 // which is later than the record. A message of an earlier era has no effect: its sender has not noticed yet that its tenure is over.
--- a/internal/orderlease/restore_test.go
+++ b/internal/orderlease/restore_test.go
@@ -271,3 +271,24 @@
 		})
 	}
 }
+
+// A VM that starts between the restore of the stream and the first claim after it must be able to tell.
+func TestLeaseIsUnclaimedAfterRestore(t *testing.T) {
+	f, seen := newEraFixture(t, 2)
+	stop := f.start(t, f.vms[0])
+	f.run(t, 5*time.Second, seen)
+	require.False(t, f.vms[0].lease.Unclaimed())
+	stop()
+	f.stream.restore(f.stream.end() - 1)
+	f.start(t, f.vms[1])
+	f.run(t, term/2, seen)
+	require.True(t, f.vms[1].lease.Unclaimed())
+	f.run(t, 2*term, seen)
+	require.Len(t, f.holders(), 1)
+	require.False(t, f.vms[1].lease.Unclaimed())
+	// A VM with a link learns of a tenure from heartbeats only.
+	linked := f.vms[0].lease
+	next, _ := f.vms[1].lease.ReadPosition()
+	linked.HolderSeen(next, fence(f.vms[1]))
+	require.False(t, linked.Unclaimed())
+}
--- a/internal/origin/census.go
+++ b/internal/origin/census.go
@@ -123,6 +123,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Before(t.incompleteUntil) {
+		return false
+	}
 	return now.Sub(t.observedSince) >= memory || now.Sub(t.loggedAt[service]) >= memory
 }
 
--- a/internal/origin/recovery.go
+++ b/internal/origin/recovery.go
@@ -13,12 +13,21 @@
 // of it by a heartbeat of the lease holder, which may only notice it as it renews the lease.
 const recoveryTime = 3 * time.Second
 
-// noticeRestore checks whether the log has entered a later era, even if this VM does not read it.
+// renewalTime is how long the runners take to renew registrations that a restored store lacks.
+const renewalTime = 2500 * time.Millisecond
+
+// noticeRestore checks whether the log has entered a later era, even if this VM does not read it, and whether it did so shortly before this VM
+// started.
 func (t *Tracker) noticeRestore() {
+	restored := t.Peers.LogRestored()
 	era := max(t.Log.Era(), t.Peers.LogEra())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.enterEra(era)
+	if restored && t.restoredAt.IsZero() {
+		t.restoredAt = t.Clock.Now()
+		t.incompleteUntil = t.restoredAt.Add(renewalTime)
+	}
 }
 
 // enterEra handles a statement that the log is in an era; the caller holds the lock.
--- a/internal/origin/recovery_test.go
+++ b/internal/origin/recovery_test.go
@@ -230,3 +230,32 @@
 		})
 	}
 }
+
+// All VMs end as the log comes back from a copy that has neither the streams of the second release nor its registrations. A VM that starts must
+// not take the service for one of a single release before the runners have registered again.
+func TestVMAfterRestoreAwaitsRegistrations(t *testing.T) {
+	for name, left := range map[string][]string{"both releases": {"v1", "v2"}, "a single release": {"v1"}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSystem(2, left...)
+				time.Sleep(time.Second)
+				s.vms[1].tracker.RecordStart("stream", s.runner(left[len(left)-1]))
+				time.Sleep(time.Second)
+				s.end()
+				s.log.restore(0)
+				s.logRestored = true
+				s.setReleases("v1")
+				started := s.addVM()
+				require.Equal(t, Origin{}, started.lookup("stream"))
+				s.setReleases(left...)
+				time.Sleep(renewalTime)
+				if len(left) == 1 {
+					require.Equal(t, single("v1"), started.lookup("stream"))
+				} else {
+					require.Equal(t, Origin{}, started.lookup("stream"))
+				}
+				s.end()
+			})
+		})
+	}
+}
--- a/internal/origin/system_test.go
+++ b/internal/origin/system_test.go
@@ -117,6 +117,8 @@
 	vms    []*vm
 	// count is the number of VMs that a VM knows of.
 	count int
+	// logRestored is the state in which VMs start.
+	logRestored bool
 	// registrationReads counts the reads of the registrations.
 	registrationReads atomic.Int64
 }
@@ -138,13 +140,16 @@
 	outdated atomic.Pointer[roster.View]
 	// suspended is for how long the VM was suspended.
 	suspended atomic.Int64
-	startedAt time.Time
+	// logRestored is set while the VM finds that nobody has claimed the lease since the log was restored.
+	logRestored atomic.Bool
+	startedAt   time.Time
 }
 
-func (v *vm) HoldsLease() bool { return v.holder.Load() == v }
-func (v *vm) Links() uint64    { return v.links.Load() }
-func (v *vm) Informed() bool   { return !v.cut.Load() }
-func (v *vm) VMs() int         { return v.count }
+func (v *vm) HoldsLease() bool  { return v.holder.Load() == v }
+func (v *vm) Links() uint64     { return v.links.Load() }
+func (v *vm) LogRestored() bool { return v.logRestored.Load() }
+func (v *vm) Informed() bool    { return !v.cut.Load() }
+func (v *vm) VMs() int          { return v.count }
 
 // eraNoticeTime is how long after the log was restored the lease holder has told all VMs.
 const eraNoticeTime = 1500 * time.Millisecond
@@ -254,6 +259,7 @@
 		count:     s.count,
 		startedAt: time.Now(),
 	}
+	v.logRestored.Store(s.logRestored)
 	v.holder.Store(v)
 	if len(s.vms) > 0 {
 		v.holder.Store(s.vms[0])
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -76,6 +76,8 @@
 	Census(ctx context.Context) (Census, bool)
 	// VMs returns the number of VMs.
 	VMs() int
+	// LogRestored reports whether the log came back from a copy so recently that no VM is known to have got the lease since.
+	LogRestored() bool
 	// LogEra returns the newest era of the log that the lease holder has reported, 0 if it has reported none.
 	LogEra() logservice.Era
 }
@@ -139,6 +141,8 @@
 	// era is the newest era of the log that is known here, 0 if none is, and restoredAt when this VM learned that the log was restored.
 	era        logservice.Era
 	restoredAt time.Time
+	// incompleteUntil is until when the store may lack registrations, zero unless it was restored shortly before this VM started.
+	incompleteUntil time.Time
 	// unloggedPending is set until this VM, as lease holder, has the unlogged streams appended.
 	unloggedPending bool
 }
--- a/internal/serving/origin.go
+++ b/internal/serving/origin.go
@@ -93,6 +93,9 @@
 // VMs implements origin.Peers.
 func (p *originPeers) VMs() int { return p.server.vmCount() }
 
+// LogRestored implements origin.Peers.
+func (p *originPeers) LogRestored() bool { return p.server.lease.Unclaimed() }
+
 // LogEra implements origin.Peers.
 func (p *originPeers) LogEra() logservice.Era {
 	next, _ := p.server.lease.ReadPosition()
