origin: retry reports for as long as streams may be taken up

Callers would see: after an outage of the store of more than five seconds, while releases are mixed, streams that began in its first part are refused as ReleaseUnknown by all VMs but those that began them.

Cause: the lease holder gave up on appends after 5 s, while a stream may be taken up for 30 s.

Reports are now kept for 30 s. What waits is bounded: beyond 4,096 batches, those of one release and second are joined.

TestReportsOutlastLongOutage failed with the former limit (the stream is unknown) and passes. go test of origin passed.

--- a/internal/origin/batch.go
+++ b/internal/origin/batch.go
@@ -48,6 +48,25 @@
 	return newer
 }
 
+// join joins the batches of each release whose newest streams began in the same second.
+func join(batches []Batch) []Batch {
+	joined := make(map[int64]pending)
+	newest := make(map[int64]int64)
+	for _, batch := range batches {
+		second := batch.At / time.Second.Milliseconds()
+		if joined[second] == nil {
+			joined[second] = make(pending)
+		}
+		joined[second].add(batch.origin(), batch.keys()...)
+		newest[second] = max(newest[second], batch.At)
+	}
+	var result []Batch
+	for second, streams := range joined {
+		result = append(result, streams.batches(newest[second])...)
+	}
+	return result
+}
+
 // fitRecord returns how many of the first batches go into one record or one message to another VM, at least one.
 func fitRecord(batches []Batch) int {
 	size := 0
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -41,8 +41,8 @@
 	readIntervalPerVM = 5 * time.Millisecond
 	// appendIntervalPerVM is the pause between two appends by a VM that reaches no lease holder, for each VM of the system.
 	appendIntervalPerVM = 10 * time.Millisecond
-	// maxPendingAge is how long appends are retried.
-	maxPendingAge = 5 * time.Second
+	// maxPendingBatches is how many batches wait for an append before those of the same release and second are joined.
+	maxPendingBatches = 1 << 12
 	// confirmTime is how long after a report the lease holder has certainly appended it, unless it has ended or can't reach the log.
 	confirmTime = 2 * time.Second
 )
@@ -323,9 +323,12 @@
 	return true
 }
 
-// keep has batches appended later, unless that failed for too long.
+// keep has batches appended later, for as long as their streams may be taken up.
 func (t *Tracker) keep(batches []Batch) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.received = append(t.received, newerThan(batches, t.Clock.Now().Add(-maxPendingAge))...)
+	t.received = append(t.received, newerThan(batches, t.Clock.Now().Add(-memory))...)
+	if len(t.received) > maxPendingBatches {
+		t.received = join(t.received)
+	}
 }
--- a/internal/origin/tracker_test.go
+++ b/internal/origin/tracker_test.go
@@ -136,6 +136,37 @@
 	})
 }
 
+// The log may be away for longer than a few seconds, and what is reported meanwhile is bounded by the streams that may be taken up.
+func TestReportsOutlastLongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(3, "v1", "v2")
+		time.Sleep(time.Second)
+		s.log.update(func(l *memoryLog) { l.down = true })
+		s.vms[1].tracker.RecordStart("forgotten", s.runner("v1"))
+		time.Sleep(memory)
+		s.vms[1].tracker.RecordStart("stream", s.runner("v1"))
+		for range 3 * maxPendingBatches {
+			s.vms[0].tracker.Receive([]Batch{{
+				Service: "models",
+				Release: "v2",
+				At:      time.Now().UnixMilli(),
+				Keys:    make([]byte, keyBytes),
+			}})
+			time.Sleep(time.Millisecond)
+		}
+		pending := s.vms[0].tracker
+		pending.mu.Lock()
+		require.LessOrEqual(t, len(pending.received), 2*maxPendingBatches)
+		pending.mu.Unlock()
+		s.log.update(func(l *memoryLog) { l.down = false })
+		time.Sleep(time.Second)
+		s.vms[1].stop()
+		require.Equal(t, known("v1"), s.vms[2].lookup("stream"))
+		require.Equal(t, Origin{}, s.vms[2].lookup("forgotten"))
+		s.end()
+	})
+}
+
 // The lease holder may end, or lose the store, with reports that it has not appended.
 func TestReportsOutlastHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
