roster: don't take a removed runner back from a restored store

Callers would see: requests that go to a runner that has left, after the store came back from a copy that has its registration still.

Cause: a registration was compared with those of known runners only, so the older one of a removed runner counted as new.

The roster now remembers what it removed for a minute; only a later registration brings a runner back.

TestRemovedRunnerDoesNotReturnWithCopy failed before and passes. go test of roster, registry, orders and serving passed.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,9 @@
 // outage may still be renewed.
 const outageGracePeriod = 2 * time.Second
 
+// removalMemory is how long a removed registration is remembered: longer than the copy from which the store may come back is old.
+const removalMemory = time.Minute
+
 // Change is one record of the registration log: a runner's newest registration, or its removal when Runner is nil.
 type Change struct {
 	_      struct{} `cbor:",toarray"`
@@ -30,17 +33,26 @@
 	runners map[string]*Runner
 	// deferredRemovals holds the times at which removals deferred after a store outage take effect, by runner ID.
 	deferredRemovals map[string]time.Time
+	// removals holds the runners that were removed within removalMemory, by ID.
+	removals map[string]removal
 	// restoredAt is when the store last became available again.
 	restoredAt       time.Time
 	storeUnavailable bool
 	view             atomic.Pointer[View]
 }
 
+// removal is a registration that was removed.
+type removal struct {
+	runner *Runner
+	at     time.Time
+}
+
 // New returns an empty roster.
 func New() *Roster {
 	r := &Roster{
 		runners:          make(map[string]*Runner),
 		deferredRemovals: make(map[string]time.Time),
+		removals:         make(map[string]removal),
 	}
 	r.publish()
 	return r
@@ -102,7 +114,7 @@
 		if now.Before(due) {
 			continue
 		}
-		updates = append(updates, r.remove(id))
+		updates = append(updates, r.remove(id, now))
 	}
 	if len(updates) > 0 {
 		r.publish()
@@ -122,7 +134,11 @@
 			}
 			return Update{}, false
 		}
-		return r.remove(change.ID), true
+		return r.remove(change.ID, now), true
+	}
+	if removed, ok := r.removals[change.ID]; ok && now.Sub(removed.at) < removalMemory && !change.Runner.newerThan(removed.runner) {
+		// The store came back from a copy that has the registration still.
+		return Update{}, false
 	}
 	if before != nil && !change.Runner.newerThan(before) {
 		return Update{}, false
@@ -144,8 +160,17 @@
 	return b
 }
 
-func (r *Roster) remove(id string) Update {
+func (r *Roster) remove(id string, now time.Time) Update {
 	before := r.runners[id]
+	for other, removed := range r.removals {
+		if now.Sub(removed.at) >= removalMemory {
+			delete(r.removals, other)
+		}
+	}
+	r.removals[id] = removal{
+		runner: before,
+		at:     now,
+	}
 	delete(r.runners, id)
 	delete(r.deferredRemovals, id)
 	return Update{
@@ -172,7 +197,7 @@
 	}
 	for id := range r.View().byID {
 		if _, known := r.runners[id]; known && !listed[id] {
-			updates = append(updates, r.remove(id))
+			updates = append(updates, r.remove(id, now))
 		}
 	}
 	r.publish()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -54,6 +54,23 @@
 	require.False(t, isKnown(r, "a"))
 }
 
+// A store that comes back from a copy still has the registration of a runner that has left since, and may have that of an earlier
+// incarnation. One that goes on registers again.
+func TestRemovedRunnerDoesNotReturnWithCopy(t *testing.T) {
+	r := roster.New()
+	r.Apply([]roster.Change{registration("left", 5, 7), registration("back", 5, 7)}, start)
+	r.Apply([]roster.Change{removal("left"), removal("back")}, start)
+	restored := start.Add(time.Second)
+	copied := registration("left", 5, 6)
+	require.Empty(t, r.Replace([]*roster.Runner{copied.Runner, registration("back", 4, 9).Runner}, restored))
+	require.False(t, isKnown(r, "left"))
+	require.False(t, isKnown(r, "back"))
+	r.Apply([]roster.Change{registration("back", 5, 8)}, restored.Add(time.Second))
+	require.True(t, isKnown(r, "back"))
+	r.Apply([]roster.Change{copied}, restored.Add(time.Hour))
+	require.True(t, isKnown(r, "left"), "what was removed long ago is forgotten")
+}
+
 // Registrations that expired during a store outage are renewed within two seconds after it. A runner that did not renew its
 // registration by then is dropped.
 func TestRemovalIsDeferredAfterOutage(t *testing.T) {
