promptguard: test that a release outlasts a restored store

The record that changed last holds, and the holder saves it once more. TestReleaseOutlastsRestoredStore passes without a change.

--- a/internal/promptguard/cluster_test.go
+++ b/internal/promptguard/cluster_test.go
@@ -144,6 +144,22 @@
 	require.Zero(t, c.quarantined("sound"))
 }
 
+// A restored store names a section that was released since as convicted. Neither the holder nor a new one may follow it.
+func TestReleaseOutlastsRestoredStore(t *testing.T) {
+	c := newCluster(t, 3)
+	c.convict("sound")
+	convicted := c.stored["sound"]
+	c.answer(c.vms[2], "sound")
+	for _, holder := range c.vms[:2] {
+		require.True(t, c.stored["sound"].Released())
+		c.stored["sound"] = convicted
+		c.elect(holder)
+		c.pass(time.Second)
+		require.Zero(t, c.quarantined("sound"))
+	}
+	require.True(t, c.stored["sound"].Released())
+}
+
 // A section that is no longer requested is tried again; one strike puts it back, for longer.
 func TestExpiredSectionIsConvictedByOneStrike(t *testing.T) {
 	c := newCluster(t, 3)
