origin: keep the reads of a new lease holder within the rate of lookups

While the store is away, a VM that had just got the lease would have tried a read every 40 ms. It now waits between two reads as lookups do. go test of origin passed.

--- a/internal/origin/recovery.go
+++ b/internal/origin/recovery.go
@@ -95,7 +95,7 @@
 	caughtUp := !holder || t.readToEnd.After(t.heldSince)
 	t.mu.Unlock()
 	if !caughtUp && t.mixes.anyWithin(memory, now) {
-		t.reads.DoChan("", func() (any, error) { return nil, t.readPage(ctx, 0) })
+		t.reads.DoChan("", func() (any, error) { return nil, t.read(ctx) })
 	}
 }
 
