origin: forget in time what a restored log lost

The streams that the log named before a restore stayed in the memory of the lease holder until the next one, up to 10 MB at full size: they were only forgotten if nobody had to append them.

--- a/internal/origin/index.go
+++ b/internal/origin/index.go
@@ -95,11 +95,13 @@
 	i.newer, i.older = make(map[key]uint16), make(map[key]uint16)
 }
 
-// clear forgets all streams.
-func (i *index) clear() {
+// expire forgets streams to which none were added for two terms.
+func (i *index) expire(now time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.newer, i.older = make(map[key]uint16), make(map[key]uint16)
+	if len(i.newer)+len(i.older) > 0 && now.Sub(i.begunAt) >= 2*i.term {
+		i.newer, i.older = make(map[key]uint16), make(map[key]uint16)
+	}
 }
 
 // collect adds the streams of a service, or of all if it is empty, to those that are to be reported, and returns their number.
--- a/internal/origin/recovery.go
+++ b/internal/origin/recovery.go
@@ -62,17 +62,10 @@
 func (t *Tracker) recoverUnlogged() {
 	holder := t.Peers.HoldsLease()
 	now := t.Clock.Now()
+	t.unlogged.expire(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.unloggedPending {
-		return
-	}
-	if now.Sub(t.restoredAt) >= memory {
-		t.unloggedPending = false
-		t.unlogged.clear()
-		return
-	}
-	if !holder {
+	if !holder || !t.unloggedPending {
 		return
 	}
 	t.unloggedPending = false
--- a/internal/origin/recovery_test.go
+++ b/internal/origin/recovery_test.go
@@ -171,6 +171,9 @@
 		}
 		require.Less(t, bytes, 3*streams*keyBytes)
 		require.Less(t, after-before, 3*streams*keyBytes/maxRecordBytes+100)
+		time.Sleep(memory)
+		unlogged := s.vms[0].tracker.unlogged
+		require.Zero(t, len(unlogged.newer)+len(unlogged.older), "what was lost is forgotten in time")
 		s.end()
 	})
 }
