--- a/internal/origin/recovery_test.go
+++ b/internal/origin/recovery_test.go
@@ -164,7 +164,7 @@
 			busiest = max(busiest, ended-begun)
 		}
 		_, after := s.log.calls()
-		require.LessOrEqual(t, busiest, writeLimit/10, "appends in 0.1 s")
+		require.LessOrEqual(t, busiest, writeLimit*2/3/10, "appends in 0.1 s; a third of the rate is left to others")
 		bytes := 0
 		for _, record := range s.log.records {
 			bytes += len(record.Payload)
