roster: compare with removed registrations after a restore only

A VM that can't read the store follows the lists of other VMs, which may lack a runner for a moment and then know an older registration of it than this VM did: it would have ignored a sound runner for up to a minute.

Only removals that were read from the store are remembered, and only after the store came back from a copy do they count. TestRemovedRunnerReturns failed before. go test of roster, registry and origin passed.

--- a/internal/registry/runners.go
+++ b/internal/registry/runners.go
@@ -25,8 +25,7 @@
 		}
 		incremental := c.synced
 		if c.restored(read.Next) {
-			// Registrations that the copy lacks are renewed soon, as after an outage.
-			w.roster.SetStoreUnavailable(true, w.clock.Now())
+			w.roster.StoreRestored(w.clock.Now())
 		}
 		c.succeeded(read.Next)
 		w.recordRead(&w.runnersReadAt)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,8 +33,10 @@
 	runners map[string]*Runner
 	// deferredRemovals holds the times at which removals deferred after a store outage take effect, by runner ID.
 	deferredRemovals map[string]time.Time
-	// removals holds the runners that were removed within removalMemory, by ID.
+	// removals holds the runners whose removal was read from the store within removalMemory, by ID.
 	removals map[string]removal
+	// copiedAt is when the store last came back from a copy, zero if it did not.
+	copiedAt time.Time
 	// restoredAt is when the store last became available again.
 	restoredAt       time.Time
 	storeUnavailable bool
@@ -105,6 +107,15 @@
 	r.storeUnavailable = unavailable
 }
 
+// StoreRestored records that the store came back from a copy. Registrations that the copy lacks are renewed soon, as after an outage, which
+// ends with the next SetStoreUnavailable.
+func (r *Roster) StoreRestored(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeUnavailable = true
+	r.copiedAt = now
+}
+
 // ApplyDeferredRemovals removes the runners whose deferred removal is due.
 func (r *Roster) ApplyDeferredRemovals(now time.Time) []Update {
 	r.mu.Lock()
@@ -114,7 +125,7 @@
 		if now.Before(due) {
 			continue
 		}
-		updates = append(updates, r.remove(id, now))
+		updates = append(updates, r.removeForGood(id, now))
 	}
 	if len(updates) > 0 {
 		r.publish()
@@ -134,10 +145,9 @@
 			}
 			return Update{}, false
 		}
-		return r.remove(change.ID, now), true
+		return r.removeForGood(change.ID, now), true
 	}
-	if removed, ok := r.removals[change.ID]; ok && now.Sub(removed.at) < removalMemory && !change.Runner.newerThan(removed.runner) {
-		// The store came back from a copy that has the registration still.
+	if before == nil && r.leftBeforeCopy(change.Runner, now) {
 		return Update{}, false
 	}
 	if before != nil && !change.Runner.newerThan(before) {
@@ -153,6 +163,13 @@
 	return update, before == nil || !before.sameState(change.Runner)
 }
 
+// leftBeforeCopy reports whether a registration is that of a runner that was removed before the store came back from a copy, which has it
+// still.
+func (r *Roster) leftBeforeCopy(runner *Runner, now time.Time) bool {
+	removed, ok := r.removals[runner.ID]
+	return ok && removed.at.Before(r.copiedAt) && now.Sub(removed.at) < removalMemory && !runner.newerThan(removed.runner)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -160,17 +177,22 @@
 	return b
 }
 
-func (r *Roster) remove(id string, now time.Time) Update {
-	before := r.runners[id]
+// removeForGood removes a runner whose removal was read from the store, and remembers it.
+func (r *Roster) removeForGood(id string, now time.Time) Update {
 	for other, removed := range r.removals {
 		if now.Sub(removed.at) >= removalMemory {
 			delete(r.removals, other)
 		}
 	}
 	r.removals[id] = removal{
-		runner: before,
+		runner: r.runners[id],
 		at:     now,
 	}
+	return r.remove(id)
+}
+
+func (r *Roster) remove(id string) Update {
+	before := r.runners[id]
 	delete(r.runners, id)
 	delete(r.deferredRemovals, id)
 	return Update{
@@ -197,7 +219,7 @@
 	}
 	for id := range r.View().byID {
 		if _, known := r.runners[id]; known && !listed[id] {
-			updates = append(updates, r.remove(id, now))
+			updates = append(updates, r.remove(id))
 		}
 	}
 	r.publish()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -61,6 +61,8 @@
 	r.Apply([]roster.Change{registration("left", 5, 7), registration("back", 5, 7)}, start)
 	r.Apply([]roster.Change{removal("left"), removal("back")}, start)
 	restored := start.Add(time.Second)
+	r.StoreRestored(restored)
+	r.SetStoreUnavailable(false, restored)
 	copied := registration("left", 5, 6)
 	require.Empty(t, r.Replace([]*roster.Runner{copied.Runner, registration("back", 4, 9).Runner}, restored))
 	require.False(t, isKnown(r, "left"))
@@ -71,6 +73,18 @@
 	require.True(t, isKnown(r, "left"), "what was removed long ago is forgotten")
 }
 
+// Without a restored store, a VM follows what it reads: another VM may know an older registration of a runner.
+func TestRemovedRunnerReturns(t *testing.T) {
+	r := roster.New()
+	r.Apply([]roster.Change{registration("a", 5, 7)}, start)
+	r.ReplaceFromPeer(nil, start)
+	require.False(t, isKnown(r, "a"))
+	r.ReplaceFromPeer([]*roster.Runner{registration("a", 5, 6).Runner}, start)
+	require.True(t, isKnown(r, "a"))
+	r.Apply([]roster.Change{removal("a"), registration("a", 5, 6)}, start)
+	require.True(t, isKnown(r, "a"))
+}
+
 // Registrations that expired during a store outage are renewed within two seconds after it. A runner that did not renew its
 // registration by then is dropped.
 func TestRemovalIsDeferredAfterOutage(t *testing.T) {
