origin: trust no VM on a single release that stood still before a restore

It had begun at a runner of v2 that joined while vm-1 stood still. The other VMs were killed, the store came back from a copy that lacked the runner and the records, and vm-1 sent the stream on to a runner of v1, 6 ms after it had noticed the restore.

Cause: a VM that stood still reads the log for the releases that it missed, and a restored log has lost them.

Every VM that notices a restore now takes no service for one of a single release for 2.5 s, by when the runners have registered again, unless it has observed the releases without a gap for 30 s.

TestVMThatStoodStillThroughRestoreAwaitsRegistrations failed before (Single, v1).

--- a/internal/origin/census.go
+++ b/internal/origin/census.go
@@ -79,6 +79,7 @@
 	if err != nil {
 		return Census{}, err
 	}
+	t.noticeRestore()
 	t.observe()
 	for !t.historyKnown(t.Clock.Now()) {
 		select {
@@ -123,10 +124,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Before(t.incompleteUntil) {
-		return false
+	if now.Sub(t.observedSince) >= memory {
+		return true
 	}
-	return now.Sub(t.observedSince) >= memory || now.Sub(t.loggedAt[service]) >= memory
+	return !now.Before(t.incompleteUntil) && now.Sub(t.loggedAt[service]) >= memory
 }
 
 // historyKnown reports whether this VM knows which services had several releases while a stream that is taken up now may have begun. Of
--- a/internal/origin/recovery_test.go
+++ b/internal/origin/recovery_test.go
@@ -262,3 +262,25 @@
 		})
 	}
 }
+
+// A VM stands still while runners of a second release join, streams begin at them, and the log comes back from a copy of before. All other VMs
+// have ended, so nobody can tell it.
+func TestVMThatStoodStillThroughRestoreAwaitsRegistrations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(2, "v1")
+		time.Sleep(memory)
+		still := s.vms[1]
+		still.unlinked.Store(true)
+		still.outdated.Store(s.roster.View())
+		s.setReleases("v1", "v2")
+		time.Sleep(idleInterval)
+		s.vms[0].tracker.RecordStart("stream", s.runner("v2"))
+		time.Sleep(idleInterval)
+		s.vms[0].stop()
+		s.log.restore(0)
+		s.setReleases("v1")
+		still.suspended.Add(int64(2 * maxObserveGap))
+		require.Equal(t, Origin{}, still.lookup("stream"))
+		s.end()
+	})
+}
