--- a/internal/origin/census.go
+++ b/internal/origin/census.go
@@ -127,7 +127,7 @@
 	if now.Sub(t.observedSince) >= memory {
 		return true
 	}
-	return !now.Before(t.incompleteUntil) && now.Sub(t.loggedAt[service]) >= memory
+	return t.registrationsRenewed(now) && now.Sub(t.loggedAt[service]) >= memory
 }
 
 // historyKnown reports whether this VM knows which services had several releases while a stream that is taken up now may have begun. Of
--- a/internal/origin/recovery.go
+++ b/internal/origin/recovery.go
@@ -25,7 +25,7 @@
 	defer t.mu.Unlock()
 	t.enterEra(era)
 	if restored && t.restoredAt.IsZero() {
-		t.noteRestore(t.Clock.Now())
+		t.restoredAt = t.Clock.Now()
 	}
 }
 
@@ -45,7 +45,7 @@
 // lock.
 func (t *Tracker) restored() {
 	now := t.Clock.Now()
-	t.noteRestore(now)
+	t.restoredAt = now
 	t.next = logservice.Position{Era: t.era}
 	t.logged.moveTo(t.unlogged, now)
 	t.unloggedPending = true
@@ -56,10 +56,9 @@
 	event.StreamsReported.Log(t.Logger, slog.Uint64("Era", uint64(t.era)), slog.Int("Streams", streams))
 }
 
-// noteRestore records when this VM learned that the log was restored; the caller holds the lock.
-func (t *Tracker) noteRestore(now time.Time) {
-	t.restoredAt = now
-	t.incompleteUntil = now.Add(renewalTime)
+// registrationsRenewed reports whether the runners have registered again if the store was restored; the caller holds the lock.
+func (t *Tracker) registrationsRenewed(now time.Time) bool {
+	return t.restoredAt.IsZero() || now.Sub(t.restoredAt) >= renewalTime
 }
 
 // recoverUnlogged has this VM, as the lease holder, append the streams that the log named before it was restored. The VMs that began them
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -140,8 +140,6 @@
 	// era is the newest era of the log that is known here, 0 if none is, and restoredAt when this VM learned that the log was restored.
 	era        logservice.Era
 	restoredAt time.Time
-	// incompleteUntil is until when the store may lack registrations because it was restored, zero if it was not.
-	incompleteUntil time.Time
 	// unloggedPending is set until this VM, as lease holder, has the unlogged streams appended.
 	unloggedPending bool
 }
